--- /dev/null
+++ b/crates/ivypitch-simhost/src/settings.rs
@@ -0,0 +1,235 @@
+//! The JSON of a BEGIN, read into the module's facts. Unknown keys are passed over; what is missing takes the
+//! value that stands for "not there".
+
+use ivypitch::interface::*;
+use serde::Deserialize;
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Options {
+    #[serde(default = "one")]
+    balancers: usize,
+    #[serde(default)]
+    me: usize,
+    #[serde(default)]
+    zone: u16,
+    #[serde(default = "five_ms")]
+    tick_ns: u64,
+    categories: Vec<Category>,
+    #[serde(default)]
+    host_types: Vec<String>,
+    #[serde(default)]
+    customers: Vec<CustomerOption>,
+    #[serde(default = "unit")]
+    over_share_worth: f64,
+    #[serde(default)]
+    extra: Extra,
+    #[serde(default)]
+    load_info: LoadInfo,
+    #[serde(default)]
+    permissions: Permissions,
+    contract: Contract,
+    #[serde(default)]
+    prices: Prices,
+    #[serde(default)]
+    registry_mode: String,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Category {
+    goal_time_ns: u64,
+    #[serde(default)]
+    aim_stretch: f64,
+    give_up_ns: u64,
+    #[serde(default = "unit")]
+    worth: f64,
+    effect: String,
+    #[serde(default)]
+    key_scope: String,
+    #[serde(default)]
+    window_ns: u64,
+    #[serde(default)]
+    keep_order: bool,
+    zones_allowed: Option<Vec<u16>>,
+    host_types_allowed: Option<Vec<u16>>,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct CustomerOption {
+    #[serde(default)]
+    allowance_per_s: f64,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct Extra {
+    cores_by_kind: Vec<f64>,
+    size_mb: Vec<f64>,
+    dop: Vec<f64>,
+    loads: Vec<bool>,
+    yields_to_loads: Vec<bool>,
+    memory_heeded: bool,
+    ranks_heeded: bool,
+    most_grant: f64,
+    progress_pace_ns: u64,
+    tells_cost: bool,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct LoadInfo {
+    fields: Vec<String>,
+    how: String,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct Permissions {
+    may_cancel: bool,
+    may_probe: bool,
+    peers: bool,
+    retry_after: bool,
+    second_copies: bool,
+    max_attempts: u32,
+    max_retry_after_ns: u64,
+}
+
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+struct Contract {
+    #[serde(default)]
+    grace_to_answer_ns: u64,
+    #[serde(default)]
+    must_ask_in_ns: u64,
+    budget_free: Option<f64>,
+    repeat_ratio: Option<f64>,
+    resend_span_ns: Option<u64>,
+    #[serde(default = "unit")]
+    cold_from: f64,
+    #[serde(default)]
+    warm_up_ns: u64,
+    #[serde(default)]
+    drain_grace_ns: u64,
+    #[serde(default = "unit")]
+    overload_factor: f64,
+    #[serde(default)]
+    tip_after_ns: u64,
+    settle_after_doubt_ns: Option<u64>,
+}
+
+#[derive(Deserialize, Default)]
+#[serde(rename_all = "kebab-case", default)]
+struct Prices {
+    waste: f64,
+}
+
+fn one() -> usize {
+    1
+}
+fn unit() -> f64 {
+    1.0
+}
+fn five_ms() -> u64 {
+    5_000_000
+}
+
+pub fn read(text: &[u8]) -> Result<Deployment, String> {
+    let options: Options = serde_json::from_slice(text).map_err(|e| e.to_string())?;
+    let extra = &options.extra;
+    let at = |list: &Vec<bool>, i: usize| list.get(i).copied().unwrap_or(false);
+    let mut workloads = Vec::new();
+    for (i, c) in options.categories.into_iter().enumerate() {
+        workloads.push(Workload {
+            slo_time: c.goal_time_ns,
+            slo_stretch: c.aim_stretch,
+            statement_timeout: c.give_up_ns,
+            importance: c.worth,
+            effect: match c.effect.as_str() {
+                "safe" => Effect::Idempotent,
+                "keyed" => Effect::Deduplicated,
+                "unsafe" => Effect::NonIdempotent,
+                other => return Err(format!("unknown effect {other:?}")),
+            },
+            dedup_group: match c.key_scope.as_str() {
+                "all" => DedupGroup::All,
+                "zone" => DedupGroup::Zone,
+                "cell" | "" => DedupGroup::Cell,
+                other => return Err(format!("unknown key-scope {other:?}")),
+            },
+            dedup_window: c.window_ns,
+            keeps_order: c.keep_order,
+            allowed_zones: c.zones_allowed,
+            allowed_kinds: c.host_types_allowed,
+            threads: extra.dop.get(i).copied().unwrap_or(1.0),
+            is_load: at(&extra.loads, i),
+            waits_for_loads: at(&extra.yields_to_loads, i),
+        });
+    }
+    let number_of_kinds = options.host_types.len().max(extra.cores_by_kind.len());
+    let kind = |i: usize| EngineKind {
+        cores: extra.cores_by_kind.get(i).copied().unwrap_or(0.0),
+        memory_mb: extra.size_mb.get(i).copied().unwrap_or(0.0),
+    };
+    let field = |name: &String| match name.as_str() {
+        "active" => ReportField::Inflight,
+        "waiting" => ReportField::Waiting,
+        "cpu" => ReportField::Cpu,
+        "avg_ms" => ReportField::LatencyMs,
+        "rps" => ReportField::ServedPerS,
+        "err_rps" => ReportField::ErrorsPerS,
+        "x0" => ReportField::MemoryGranted,
+        "x1" => ReportField::DisksBusy,
+        _ => ReportField::Unknown,
+    };
+    let contract = &options.contract;
+    let may = &options.permissions;
+    Ok(Deployment {
+        gateways: options.balancers,
+        me: options.me,
+        zone: options.zone,
+        tick: options.tick_ns,
+        workloads,
+        kinds: (0..number_of_kinds).map(kind).collect(),
+        customers: options
+            .customers
+            .iter()
+            .map(|c| Customer { allowance_per_s: c.allowance_per_s })
+            .collect(),
+        over_share_importance: options.over_share_worth,
+        report_fields: options.load_info.fields.iter().map(field).collect(),
+        report_path: match options.load_info.how.as_str() {
+            "piggyback" => ReportPath::WithAnswers,
+            "pull" => ReportPath::ProbesOnly,
+            _ => ReportPath::Silent,
+        },
+        progress_pace: extra.progress_pace_ns,
+        memory_heeded: extra.memory_heeded,
+        priority_heeded: extra.ranks_heeded,
+        most_grant: extra.most_grant,
+        tells_cost: extra.tells_cost,
+        must_ask_for_list: options.registry_mode == "on_request",
+        must_ask_within: contract.must_ask_in_ns,
+        may_probe: may.may_probe,
+        may_withdraw: may.may_cancel,
+        may_publish: may.peers,
+        come_back_heeded: may.retry_after,
+        longest_come_back: may.max_retry_after_ns,
+        second_copies: may.second_copies,
+        max_executions: if may.max_attempts == 0 { u32::MAX } else { may.max_attempts },
+        drain_grace: contract.drain_grace_ns,
+        answer_grace: contract.grace_to_answer_ns,
+        cold_from: contract.cold_from,
+        warm_up: contract.warm_up_ns,
+        overload_factor: contract.overload_factor,
+        overload_window: contract.tip_after_ns,
+        execution_budget: contract.resend_span_ns.map(|window| ExecutionBudget {
+            window,
+            free: contract.budget_free.unwrap_or(0.0),
+            per_statement: contract.repeat_ratio.unwrap_or(0.0),
+        }),
+        key_rest: contract.settle_after_doubt_ns,
+        wasted_work_price: options.prices.waste,
+    })
+}
--- /dev/null
+++ b/crates/ivypitch/src/interface.rs
@@ -0,0 +1,236 @@
+//! What the decision module is told and what it may do. Nothing here decides.
+//!
+//! Times are whole nanoseconds of one clock that only advances. Ids of the outside become small indices before
+//! they come here; an index of a statement is free again once [`Output::forget`] has named it.
+
+/// A time or a span, in nanoseconds.
+pub type Nanos = u64;
+pub const SECOND: Nanos = 1_000_000_000;
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct StmtIx(pub usize);
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Debug)]
+pub struct EngineIx(pub usize);
+
+/// What running a statement twice does.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Effect {
+    Idempotent,
+    Deduplicated,
+    NonIdempotent,
+}
+
+/// Which engines drop the repeats of a deduplicated statement.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum DedupGroup {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Debug)]
+pub struct Workload {
+    pub slo_time: Nanos,
+    /// The SLO time grows by this multiple of the work divided by the threads.
+    pub slo_stretch: f64,
+    pub statement_timeout: Nanos,
+    pub importance: f64,
+    pub effect: Effect,
+    pub dedup_group: DedupGroup,
+    pub dedup_window: Nanos,
+    pub keeps_order: bool,
+    pub allowed_zones: Option<Vec<u16>>,
+    pub allowed_kinds: Option<Vec<u16>>,
+    pub threads: f64,
+    /// Holds its table group on its engine while it runs.
+    pub is_load: bool,
+    /// Stands still while a load holds its table group on its engine.
+    pub waits_for_loads: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct EngineKind {
+    pub cores: f64,
+    pub memory_mb: f64,
+}
+
+#[derive(Clone, Debug)]
+pub struct Customer {
+    pub allowance_per_s: f64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ReportField {
+    Inflight,
+    Waiting,
+    Cpu,
+    LatencyMs,
+    ServedPerS,
+    ErrorsPerS,
+    MemoryGranted,
+    DisksBusy,
+    Unknown,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ReportPath {
+    WithAnswers,
+    ProbesOnly,
+    Silent,
+}
+
+/// A window of time with what is let through in it.
+#[derive(Clone, Debug)]
+pub struct ExecutionBudget {
+    pub window: Nanos,
+    pub free: f64,
+    pub per_statement: f64,
+}
+
+/// The facts of one deployment, as handed to a gateway at its start.
+#[derive(Clone, Debug)]
+pub struct Deployment {
+    pub gateways: usize,
+    pub me: usize,
+    pub zone: u16,
+    pub tick: Nanos,
+    pub workloads: Vec<Workload>,
+    pub kinds: Vec<EngineKind>,
+    pub customers: Vec<Customer>,
+    pub over_share_importance: f64,
+    pub report_fields: Vec<ReportField>,
+    pub report_path: ReportPath,
+    pub progress_pace: Nanos,
+    pub memory_heeded: bool,
+    pub priority_heeded: bool,
+    pub most_grant: f64,
+    pub tells_cost: bool,
+    pub must_ask_for_list: bool,
+    pub must_ask_within: Nanos,
+    pub may_probe: bool,
+    pub may_withdraw: bool,
+    pub may_publish: bool,
+    pub come_back_heeded: bool,
+    pub longest_come_back: Nanos,
+    pub second_copies: bool,
+    pub max_executions: u32,
+    pub drain_grace: Nanos,
+    pub answer_grace: Nanos,
+    pub cold_from: f64,
+    pub warm_up: Nanos,
+    pub overload_factor: f64,
+    pub overload_window: Nanos,
+    pub execution_budget: Option<ExecutionBudget>,
+    pub key_rest: Option<Nanos>,
+    pub wasted_work_price: f64,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum EnginePhase {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One engine as the list has it.
+#[derive(Clone, Copy, Debug)]
+pub struct EngineRow {
+    pub engine: EngineIx,
+    /// The engine's id as a number, the same at every gateway.
+    pub id: u64,
+    pub zone: u16,
+    pub kind: u16,
+    pub cell: u16,
+    pub phase: EnginePhase,
+    pub weight: f64,
+    /// 0: long ago.
+    pub started_at: Nanos,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ListKind {
+    /// Changed rows only.
+    Delta,
+    /// Every row; an engine that is missing is gone.
+    Full,
+    /// Every row as last held, maybe out of date.
+    Cached,
+}
+
+/// A statement as it comes in.
+#[derive(Clone, Copy, Debug)]
+pub struct Arrival {
+    pub workload: usize,
+    /// 0: none.
+    pub key: u64,
+    pub table_group: u32,
+    pub time_left: Nanos,
+    pub is_repeat: bool,
+    pub customer: usize,
+    /// 0: not estimated.
+    pub estimated_mb: f64,
+    /// Work of all its threads; 0: not estimated.
+    pub estimated_work: Nanos,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Outcome {
+    Completed,
+    Error,
+    Full,
+    TimedOut,
+    ConnectFailed,
+    Reset,
+    Cancelled,
+    Moot,
+}
+
+impl Outcome {
+    /// The outcome itself proves that the execution never ran.
+    pub fn never_ran(self) -> bool {
+        matches!(self, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot)
+    }
+}
+
+/// One execution's outcome.
+#[derive(Clone, Copy, Debug)]
+pub struct Ended<'a> {
+    pub execution: u32,
+    pub engine: EngineIx,
+    pub outcome: Outcome,
+    pub took: Nanos,
+    /// The statement has its final answer, by this outcome or before.
+    pub closed: bool,
+    /// Work in ms and memory in MB, where answers tell them.
+    pub true_cost: Option<(f64, f64)>,
+    pub report: &'a [f32],
+}
+
+#[derive(Clone, Copy, PartialEq, Debug)]
+pub enum Note {
+    ShareDone(f64),
+    SpillsMb(f64),
+    WaitsForMemory,
+    WaitsForLoad,
+}
+
+/// What the module may do. A call takes effect at the moment of the call that it answers.
+pub trait Output {
+    fn send(&mut self, stmt: StmtIx, engine: EngineIx, timeout: Nanos);
+    fn withdraw(&mut self, stmt: StmtIx, execution: u32);
+    /// Memory (0: the engine's own choice) for the next send, and priority also for executions that are out.
+    fn set_terms(&mut self, stmt: StmtIx, grant_mb: f64, priority: u8);
+    /// Final: the statement had no effect and may be tried again, after `come_back` where that is above 0.
+    fn reject(&mut self, stmt: StmtIx, come_back: Nanos);
+    /// Final: no claim about effects.
+    fn abort(&mut self, stmt: StmtIx);
+    /// The module has dropped the statement and its executions; the index may be given to another.
+    fn forget(&mut self, stmt: StmtIx);
+    fn wake(&mut self, mark: u64, after: Nanos);
+    fn probe(&mut self, engine: EngineIx);
+    /// To every peer.
+    fn publish(&mut self, bytes: &[u8]);
+    fn watch_list(&mut self);
+    fn log(&mut self, line: &str);
+}
--- /dev/null
+++ b/crates/ivypitch/src/rules.rs
@@ -0,0 +1,893 @@
+//! All decisions of one gateway: where a statement runs, when it waits, runs again, is rejected or aborted.
+//!
+//! How to call it: [`Gateway::new`] with the deployment's facts and a seed, [`Gateway::start`] once, then one call
+//! for each thing that happens, with the clock's time. Each call acts through [`Output`] before it returns. What
+//! the module is told and may do is defined in `interface.rs`. It does no I/O, reads no clock, starts no thread,
+//! and the same calls with the same seed give the same actions.
+//!
+//! The ordinary path is BEMA (`docs/design.md`): `pick` chooses, `send` moves the winner's point. What departs
+//! from it stands in `room` (bounds under pressure), `judge` and `listen` (health) and `noted` (bad plans).
+//! `permitted` is the one gate for the seven rules.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// How far the winner's EMA point moves towards the query point (the paper's best is near 0.1).
+const ALPHA: f64 = 0.1;
+/// N: how many of the own last sends count as load.
+const RECENT_SENDS: usize = 64;
+/// Half the side of the square in which a query point lies around its table group's point; the plane's side is 1.
+const OFFSET: f64 = 0.04;
+/// Distance counts at least this part of the plane's side.
+const FLOOR: f64 = 0.1;
+/// Threads per core that the long and the short workloads may hold on an engine under pressure.
+const LONG_BOUND: f64 = 0.9;
+const SHORT_BOUND: f64 = 1.5;
+/// A workload is long when its SLO time is this many times the shortest of the deployment.
+const LONG_SLO: u64 = 2;
+/// Pressure lasts this long after its last sign.
+const PRESSURE_HOLD: Nanos = SECOND / 2;
+/// Signs of pressure: latency against its best, reported CPU, memory, and statements per core.
+const FAR_ABOVE_BEST: f64 = 3.0;
+const BUSY_CPU: f64 = 0.93;
+const BUSY_MEMORY: f64 = 0.95;
+const BUSY_PER_CORE: f64 = 1.3;
+/// A statement waits for room this part of its SLO time.
+const WAIT_PART: f64 = 0.4;
+/// An engine is judged by this many outcomes, and stands well with so many successes among them.
+const LAST_FEW: u32 = 8;
+const FEWEST_SUCCESSES: u32 = 6;
+/// A suspected engine is tried again after so long, sooner after a success.
+const TRIAL_GAP: Nanos = SECOND;
+const TRIAL_GAP_AFTER_SUCCESS: Nanos = SECOND / 10;
+/// No more than this part of the engines open to a statement is left out as suspected.
+const MOST_SUSPECTED: f64 = 0.5;
+/// Silence: nothing heard for this long, or for this many usual latencies, while a short execution is out.
+const SILENCE: Nanos = SECOND * 6 / 10;
+const SILENCE_LATENCIES: f64 = 5.0;
+/// A plan is bad when its projected time is this many times what its work should take.
+const BAD_PLAN: f64 = 4.0;
+/// Part of a cold engine's work budget that the gateways together use; the rest allows for wrong estimates.
+const COLD_SAFETY: f64 = 0.6;
+/// Share of the cores that is busy at what the operators call capacity.
+const CAPACITY_BUSY: f64 = 0.85;
+/// A customer may run ahead of its allowance by this many seconds of it.
+const ALLOWANCE_BURST_S: f64 = 1.5;
+/// Smoothing of what is learned of workloads and engines.
+const LEARN: f64 = 0.05;
+const HOUSEKEEPING: Nanos = SECOND / 100;
+const PROBE_GAP: Nanos = SECOND / 2;
+const ASK_GAP: Nanos = SECOND;
+const MARK_HOUSEKEEPING: u64 = 0;
+const MARK_ASK: u64 = 1;
+const MARK_PROBE: u64 = 2;
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Stage {
+    /// In its workload's queue, no execution out.
+    Waiting,
+    Running,
+    /// Its execution was withdrawn; what came of it is not known yet.
+    Withdrawing,
+    /// The client has begun to get the answer.
+    Streaming,
+    /// It has its final answer; an execution may still be out.
+    Answered,
+}
+
+/// What the gate is asked about.
+#[derive(Clone, Copy, PartialEq)]
+enum Act {
+    Send(EngineIx),
+    Reject,
+    Abort,
+}
+
+struct Execution {
+    engine: EngineIx,
+    since: Nanos,
+    number: u32,
+}
+
+struct Stmt {
+    wlm: usize,
+    key: u64,
+    group: u32,
+    point: [f64; 2],
+    deadline: Nanos,
+    /// Work of all threads in seconds, as far as it can be told.
+    work: f64,
+    importance: f64,
+    stage: Stage,
+    executions: u32,
+    out: Option<Execution>,
+    /// Engine and time of the first execution that may have run.
+    may_have_run: Option<(EngineIx, Nanos)>,
+    /// Where the last execution went wrong.
+    avoid: Option<EngineIx>,
+    wait_until: Nanos,
+}
+
+/// What differs by workload and is not a fact of the deployment.
+struct WorkloadRow {
+    long: bool,
+    /// Smoothed: estimates, work where it is told, time taken against the time its work should take.
+    estimate: f64,
+    told_work: f64,
+    slowness: f64,
+    /// Emptied as statements are sent or answered.
+    queue: Vec<StmtIx>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Standing {
+    Good,
+    Failing,
+    Silent,
+}
+
+struct Engine {
+    row: EngineRow,
+    listed: bool,
+    left_at: Nanos,
+    ema_point: [f64; 2],
+    /// Own executions out there and their threads, of short and of long workloads.
+    out: u32,
+    threads: [f64; 2],
+    share: f64,
+    standing: Standing,
+    /// The last few outcomes, newest lowest; 1 is a success.
+    outcomes: u32,
+    next_trial: Nanos,
+    heard: Nanos,
+    /// Time taken and time the work should have taken, smoothed, and the least of their ratio.
+    took: f64,
+    should_take: f64,
+    best: f64,
+    pressure_until: Nanos,
+    /// Work sent while cold; entries leave with the overload window.
+    cold_sends: VecDeque<(Nanos, f64)>,
+}
+
+/// The statements of one key in the order taken; the line goes when it is empty and rested.
+#[derive(Default)]
+struct KeyLine {
+    line: VecDeque<StmtIx>,
+    rest_until: Nanos,
+}
+
+pub struct Gateway {
+    facts: Deployment,
+    seed: u64,
+    chances: u64,
+    /// By index; a place is emptied by `forget_if_over`.
+    stmts: Vec<Option<Stmt>>,
+    wlms: Vec<WorkloadRow>,
+    /// By index; grows with the engines ever listed.
+    engines: Vec<Engine>,
+    /// The engines of the own last N sends; the oldest leaves as one comes.
+    recent: VecDeque<EngineIx>,
+    keys: BTreeMap<u64, KeyLine>,
+    /// Times within the budget's window; older ones are dropped at each use.
+    taken: VecDeque<Nanos>,
+    further: VecDeque<Nanos>,
+    /// What each customer may still send within its share, and when that was worked out.
+    allowances: Vec<(f64, Nanos)>,
+    short_latency: f64,
+    in_hand: usize,
+    wake_is_set: bool,
+}
+
+impl Gateway {
+    pub fn new(facts: Deployment, seed: u64, now: Nanos) -> Self {
+        let least_slo = facts.workloads.iter().map(|w| w.slo_time).min().unwrap_or(0);
+        let row = |w: &Workload| WorkloadRow {
+            long: w.slo_time >= LONG_SLO * least_slo.max(1),
+            estimate: seconds(w.slo_time) / 3.0,
+            told_work: seconds(w.slo_time) / 3.0,
+            slowness: 1.5,
+            queue: Vec::new(),
+        };
+        Gateway {
+            wlms: facts.workloads.iter().map(row).collect(),
+            allowances: facts
+                .customers
+                .iter()
+                .map(|c| (c.allowance_per_s * ALLOWANCE_BURST_S, now))
+                .collect(),
+            short_latency: seconds(least_slo) / 5.0,
+            facts,
+            seed,
+            chances: 0,
+            stmts: Vec::new(),
+            engines: Vec::new(),
+            recent: VecDeque::new(),
+            keys: BTreeMap::new(),
+            taken: VecDeque::new(),
+            further: VecDeque::new(),
+            in_hand: 0,
+            wake_is_set: false,
+        }
+    }
+
+    pub fn start(&mut self, _now: Nanos, out: &mut dyn Output) {
+        if self.facts.must_ask_for_list {
+            out.watch_list();
+        }
+        if self.facts.may_probe && self.facts.report_path == ReportPath::ProbesOnly {
+            out.wake(MARK_PROBE, PROBE_GAP);
+        }
+    }
+
+    // ---- engines ----
+
+    pub fn engines_listed(&mut self, now: Nanos, kind: ListKind, rows: &[EngineRow], out: &mut dyn Output) {
+        if kind != ListKind::Delta {
+            for engine in self.engines.iter_mut().filter(|e| e.listed) {
+                if !rows.iter().any(|r| r.engine == engine.row.engine) {
+                    engine.row.phase = EnginePhase::Gone;
+                    engine.left_at = now;
+                    engine.listed = false;
+                }
+            }
+        }
+        for row in rows {
+            while self.engines.len() <= row.engine.0 {
+                self.engines.push(Engine::new(*row, self.facts.gateways));
+            }
+            let engine = &mut self.engines[row.engine.0];
+            if !engine.listed {
+                engine.ema_point = point_of(row.id);
+            }
+            if engine.row.phase == EnginePhase::Ready && row.phase != EnginePhase::Ready {
+                engine.left_at = now;
+            }
+            if row.started_at > engine.row.started_at {
+                // A restarted process has none of the old one's faults, nor its executions' answers to come.
+                engine.outcomes = u32::MAX;
+                engine.heard = now;
+                turn_engine(engine, Standing::Good, "restarted", 0.0, out);
+            }
+            engine.listed = row.phase != EnginePhase::Gone;
+            engine.row = *row;
+        }
+        self.dispatch(now, out);
+    }
+
+    pub fn list_failed(&mut self, _now: Nanos, out: &mut dyn Output) {
+        if self.facts.must_ask_for_list {
+            out.wake(MARK_ASK, ASK_GAP + (self.chance() * ASK_GAP as f64) as Nanos);
+        }
+    }
+
+    pub fn probed(
+        &mut self,
+        now: Nanos,
+        engine: EngineIx,
+        outcome: Outcome,
+        _took: Nanos,
+        report: &[f32],
+        out: &mut dyn Output,
+    ) {
+        if outcome == Outcome::Completed {
+            self.read_report(now, engine, report);
+            self.dispatch(now, out);
+        }
+    }
+
+    pub fn peer_said(&mut self, _now: Nanos, _from: usize, _bytes: &[u8], _out: &mut dyn Output) {}
+
+    fn read_report(&mut self, now: Nanos, ix: EngineIx, report: &[f32]) {
+        let cores = self.cores(ix);
+        let gateways = self.facts.gateways as f64;
+        let engine = &mut self.engines[ix.0];
+        let mut busy = false;
+        for (field, &value) in self.facts.report_fields.iter().zip(report) {
+            let value = f64::from(value);
+            match field {
+                ReportField::Cpu => busy |= value >= BUSY_CPU,
+                ReportField::Waiting => busy |= value >= 1.0,
+                ReportField::MemoryGranted => busy |= value >= BUSY_MEMORY,
+                ReportField::Inflight => {
+                    busy |= value >= BUSY_PER_CORE * cores;
+                    let share = f64::from(engine.out + 1) / (value + 1.0);
+                    engine.share += 0.1 * (share.clamp(0.5 / gateways, 1.0) - engine.share);
+                }
+                _ => {}
+            }
+        }
+        if busy {
+            engine.pressure_until = now + PRESSURE_HOLD;
+        }
+    }
+
+    /// An engine is judged by the successes among its last few outcomes. Guards against engines that fail fast
+    /// and would draw work by being quick; also covers crashes and refused connections before the list knows.
+    /// Hurts when statements themselves are at fault: then the known part of the fleet stays in use all the same.
+    fn judge(&mut self, now: Nanos, ix: EngineIx, success: bool, out: &mut dyn Output) {
+        let engine = &mut self.engines[ix.0];
+        engine.outcomes = engine.outcomes << 1 | u32::from(success);
+        let successes = (engine.outcomes & ((1 << LAST_FEW) - 1)).count_ones();
+        let standing = if successes < FEWEST_SUCCESSES { Standing::Failing } else { Standing::Good };
+        engine.next_trial = now + if success { TRIAL_GAP_AFTER_SUCCESS } else { TRIAL_GAP };
+        if success || standing == Standing::Failing {
+            turn_engine(engine, standing, "successes", f64::from(successes), out);
+        }
+    }
+
+    /// Silence: executions are out, and neither an outcome nor a note has come for far longer than usual. Guards
+    /// against engines that take work and answer none; also covers cut links and crashes the list has not told.
+    /// Idempotent statements are taken away and tried elsewhere. Hurts when a gateway has so little traffic that
+    /// one slow statement looks like silence; the usual latency, which rises when all are slow, limits that.
+    fn listen(&mut self, now: Nanos, out: &mut dyn Output) {
+        let limit_short = SILENCE.max(nanos(SILENCE_LATENCIES * self.short_latency));
+        let limit_long = self.facts.progress_pace * 3 / 2 + SECOND / 2;
+        let mut silent = vec![0; self.engines.len()];
+        for stmt in self.stmts.iter().flatten() {
+            let Some(execution) = &stmt.out else { continue };
+            let quiet = now.saturating_sub(execution.since.max(self.engines[execution.engine.0].heard));
+            let long = self.wlms[stmt.wlm].long;
+            if quiet > if long { limit_long } else { limit_short } && (!long || self.facts.progress_pace > 0)
+            {
+                silent[execution.engine.0] = quiet;
+            }
+        }
+        let ready = self.engines.iter().filter(|e| e.row.phase == EnginePhase::Ready).count();
+        let suspected = |g: &Self| g.engines.iter().filter(|e| e.standing != Standing::Good).count();
+        for (i, &quiet) in silent.iter().enumerate() {
+            if quiet == 0 || (suspected(self) + 1) as f64 > MOST_SUSPECTED * ready as f64 {
+                continue;
+            }
+            self.engines[i].next_trial = now + TRIAL_GAP;
+            turn_engine(&mut self.engines[i], Standing::Silent, "quiet for s", seconds(quiet), out);
+            for s in 0..self.stmts.len() {
+                let Some(stmt) = &self.stmts[s] else { continue };
+                let there = stmt.out.as_ref().is_some_and(|e| e.engine.0 == i);
+                if there && self.facts.workloads[stmt.wlm].effect == Effect::Idempotent {
+                    self.withdraw(StmtIx(s), out);
+                }
+            }
+        }
+    }
+
+    // ---- statements ----
+
+    pub fn arrive(&mut self, now: Nanos, ix: StmtIx, arrival: Arrival, out: &mut dyn Output) {
+        let wlm = arrival.workload.min(self.wlms.len().saturating_sub(1));
+        let Some(facts) = self.facts.workloads.get(wlm) else { return out.abort(ix) };
+        let row = &mut self.wlms[wlm];
+        let mut work = row.told_work;
+        if arrival.estimated_work > 0 {
+            let estimate = seconds(arrival.estimated_work);
+            row.estimate += LEARN * (estimate - row.estimate);
+            if !self.facts.tells_cost {
+                row.told_work = row.estimate;
+            }
+            work = estimate * row.told_work / row.estimate.max(1e-6);
+        }
+        let mut importance = facts.importance;
+        if let Some((left, at)) = self.allowances.get_mut(arrival.customer) {
+            let rate = self.facts.customers[arrival.customer].allowance_per_s / self.facts.gateways as f64;
+            *left = (*left + rate * seconds(now - *at)).min(rate * ALLOWANCE_BURST_S);
+            *at = now;
+            if *left >= 1.0 {
+                *left -= 1.0;
+            } else {
+                importance *= self.facts.over_share_importance;
+            }
+        }
+        let group = point_of(u64::from(arrival.table_group));
+        let point = [0, 1].map(|axis| group[axis] + OFFSET * (2.0 * self.chance() - 1.0));
+        let wait = nanos(WAIT_PART * seconds(self.facts.workloads[wlm].slo_time));
+        let stmt = Stmt {
+            wlm,
+            key: if self.facts.workloads[wlm].keeps_order { arrival.key } else { 0 },
+            group: arrival.table_group,
+            point,
+            deadline: now.saturating_add(arrival.time_left),
+            work: work.max(1e-4),
+            importance,
+            stage: Stage::Waiting,
+            executions: 0,
+            out: None,
+            may_have_run: None,
+            avoid: None,
+            wait_until: now + wait.min(arrival.time_left / 2),
+        };
+        if stmt.key != 0 {
+            self.keys.entry(stmt.key).or_default().line.push_back(ix);
+        }
+        if self.stmts.len() <= ix.0 {
+            self.stmts.resize_with(ix.0 + 1, || None);
+        }
+        self.stmts[ix.0] = Some(stmt);
+        self.in_hand += 1;
+        if let Some(budget) = &self.facts.execution_budget {
+            self.taken.push_back(now);
+            for times in [&mut self.taken, &mut self.further] {
+                while times.front().is_some_and(|&t| t + budget.window < now) {
+                    times.pop_front();
+                }
+            }
+        }
+        self.wlms[wlm].queue.push(ix);
+        self.dispatch(now, out);
+        if !self.wake_is_set {
+            self.wake_is_set = true;
+            out.wake(MARK_HOUSEKEEPING, HOUSEKEEPING);
+        }
+    }
+
+    pub fn under_way(&mut self, now: Nanos, ix: StmtIx, execution: u32, out: &mut dyn Output) {
+        let Some(stmt) = self.stmts.get(ix.0).and_then(Option::as_ref) else { return };
+        let Some(e) = stmt.out.as_ref().filter(|e| e.number == execution) else { return };
+        self.engines[e.engine.0].heard = now;
+        if stmt.stage != Stage::Answered {
+            self.turn(ix, Stage::Streaming, out);
+        }
+    }
+
+    /// Progress of an execution. Guards against bad plans: one that is projected to take many times what its work
+    /// should take, or not to end in time, is withdrawn and drawn anew. Also covers executions that stand still.
+    /// Hurts when estimates are far too low for single statements: their work is then lost once or twice.
+    pub fn noted(&mut self, now: Nanos, ix: StmtIx, execution: u32, note: Note, out: &mut dyn Output) {
+        let Some(stmt) = self.stmts.get(ix.0).and_then(Option::as_ref) else { return };
+        let Some(e) = stmt.out.as_ref().filter(|e| e.number == execution) else { return };
+        self.engines[e.engine.0].heard = now;
+        let Note::ShareDone(done) = note else { return };
+        let facts = &self.facts.workloads[stmt.wlm];
+        if stmt.stage != Stage::Running || facts.effect != Effect::Idempotent {
+            return;
+        }
+        let elapsed = seconds(now - e.since);
+        let left = elapsed * (1.0 - done).max(0.0) / done.max(0.01);
+        let usual = stmt.work / facts.threads.max(1.0) * self.wlms[stmt.wlm].slowness;
+        if elapsed + left > BAD_PLAN * usual
+            && left > 2.0 * usual
+            && stmt.executions < self.facts.max_executions
+        {
+            self.withdraw(ix, out);
+        }
+    }
+
+    pub fn execution_ended(&mut self, now: Nanos, ix: StmtIx, ended: &Ended, out: &mut dyn Output) {
+        let Some(stmt) = self.stmts.get_mut(ix.0).and_then(Option::as_mut) else { return };
+        let Some(execution) = stmt.out.take_if(|e| e.number == ended.execution) else { return };
+        let (wlm, threads) = (stmt.wlm, self.facts.workloads[stmt.wlm].threads);
+        let engine = &mut self.engines[execution.engine.0];
+        engine.out -= 1;
+        engine.threads[usize::from(self.wlms[wlm].long)] -= threads;
+        if !ended.outcome.never_ran() {
+            stmt.may_have_run.get_or_insert((execution.engine, execution.since));
+        }
+        let doubt = matches!(ended.outcome, Outcome::TimedOut | Outcome::Reset | Outcome::Cancelled);
+        if doubt && let Some(line) = self.keys.get_mut(&stmt.key) {
+            line.rest_until = now + self.facts.key_rest.unwrap_or(0);
+        }
+        match ended.outcome {
+            Outcome::Completed => {
+                engine.heard = now;
+                self.learn(now, ix, &execution, ended);
+                self.judge(now, execution.engine, true, out);
+            }
+            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
+                engine.heard = now;
+                self.judge(now, execution.engine, false, out);
+            }
+            Outcome::Full => {
+                engine.heard = now;
+                engine.pressure_until = now + PRESSURE_HOLD;
+            }
+            Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
+        }
+        self.read_report(now, execution.engine, ended.report);
+        let Some(stmt) = self.stmts[ix.0].as_mut() else { return };
+        if ended.closed {
+            self.turn(ix, Stage::Answered, out);
+        } else if stmt.stage != Stage::Answered {
+            stmt.avoid = Some(execution.engine);
+            let again = now + (stmt.deadline.saturating_sub(now)) / 8;
+            stmt.wait_until = again;
+            let may_run_again = match self.facts.workloads[wlm].effect {
+                Effect::NonIdempotent => stmt.may_have_run.is_none(),
+                _ => true,
+            };
+            if may_run_again && stmt.executions < self.facts.max_executions && ended.outcome != Outcome::Moot
+            {
+                self.turn(ix, Stage::Waiting, out);
+                self.wlms[wlm].queue.push(ix);
+            } else {
+                self.give_up(now, ix, out);
+            }
+        }
+        self.forget_if_over(ix, out);
+        self.dispatch(now, out);
+    }
+
+    pub fn expired(&mut self, now: Nanos, ix: StmtIx, out: &mut dyn Output) {
+        if self.stmts.get(ix.0).is_none_or(Option::is_none) {
+            return;
+        }
+        self.withdraw(ix, out);
+        self.turn(ix, Stage::Answered, out);
+        self.forget_if_over(ix, out);
+        self.dispatch(now, out);
+    }
+
+    pub fn woken(&mut self, now: Nanos, mark: u64, out: &mut dyn Output) {
+        match mark {
+            MARK_ASK => out.watch_list(),
+            MARK_PROBE => {
+                for engine in self.engines.iter().filter(|e| e.row.phase == EnginePhase::Ready) {
+                    out.probe(engine.row.engine);
+                }
+                out.wake(MARK_PROBE, PROBE_GAP);
+            }
+            _ => self.keep_house(now, out),
+        }
+    }
+
+    fn keep_house(&mut self, now: Nanos, out: &mut dyn Output) {
+        self.wake_is_set = false;
+        self.listen(now, out);
+        // Rule 1: whatever is still without an answer at the last moment gets one, here at the latest.
+        let last_moment = now + 2 * self.facts.tick.max(SECOND / 1000);
+        for s in 0..self.stmts.len() {
+            let Some(stmt) = &self.stmts[s] else { continue };
+            if stmt.deadline <= last_moment && !matches!(stmt.stage, Stage::Answered | Stage::Streaming) {
+                self.give_up(now, StmtIx(s), out);
+            }
+        }
+        self.dispatch(now, out);
+        self.keys.retain(|_, line| !line.line.is_empty() || line.rest_until > now);
+        if self.in_hand > 0 && !self.wake_is_set {
+            self.wake_is_set = true;
+            out.wake(MARK_HOUSEKEEPING, HOUSEKEEPING);
+        }
+    }
+
+    fn learn(&mut self, now: Nanos, ix: StmtIx, execution: &Execution, ended: &Ended) {
+        let Some(stmt) = &self.stmts[ix.0] else { return };
+        let row = &mut self.wlms[stmt.wlm];
+        let threads = self.facts.workloads[stmt.wlm].threads.max(1.0);
+        if let Some((work_ms, _)) = ended.true_cost {
+            row.told_work += LEARN * (work_ms / 1000.0 - row.told_work);
+        }
+        let took = seconds(ended.took);
+        row.slowness += LEARN * ((took * threads / stmt.work).clamp(0.2, 10.0) - row.slowness);
+        if row.long {
+            return;
+        }
+        self.short_latency += LEARN * (took - self.short_latency);
+        let engine = &mut self.engines[execution.engine.0];
+        engine.took += 0.1 * (took - engine.took);
+        engine.should_take += 0.1 * (stmt.work / threads - engine.should_take);
+        let ratio = engine.took / engine.should_take.max(1e-6);
+        engine.best = (engine.best * 1.001).min(ratio);
+        if ratio > FAR_ABOVE_BEST * engine.best {
+            engine.pressure_until = now + PRESSURE_HOLD;
+        }
+    }
+
+    // ---- placing ----
+
+    /// Sends what waits, the most importance per work first; what has waited its part is sent or rejected.
+    fn dispatch(&mut self, now: Nanos, out: &mut dyn Output) {
+        let mut waiting: Vec<(f64, StmtIx)> = Vec::new();
+        for &ix in self.wlms.iter().flat_map(|w| &w.queue) {
+            let Some(stmt) = &self.stmts[ix.0] else { continue };
+            waiting.push((stmt.importance / stmt.work, ix));
+        }
+        waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        for (_, ix) in waiting {
+            let Some(stmt) = &self.stmts[ix.0] else { continue };
+            let waited = now >= stmt.wait_until;
+            if let Some(engine) = self.pick(now, ix) {
+                self.send(now, ix, engine, out);
+            } else if waited
+                && self.waits_for_turn(ix)
+                && now + SECOND < self.stmts[ix.0].as_ref().unwrap().deadline
+            {
+                continue;
+            } else if waited {
+                self.give_up(now, ix, out);
+            }
+        }
+    }
+
+    fn waits_for_turn(&self, ix: StmtIx) -> bool {
+        let Some(stmt) = &self.stmts[ix.0] else { return false };
+        self.keys.get(&stmt.key).is_some_and(|line| line.line.front() != Some(&ix))
+    }
+
+    /// The design's pick: distance, at least the floor, times the own recent sends a core; the next best where an
+    /// engine has no room.
+    fn pick(&self, now: Nanos, ix: StmtIx) -> Option<EngineIx> {
+        let stmt = self.stmts[ix.0].as_ref()?;
+        let open: Vec<&Engine> =
+            self.engines.iter().filter(|e| self.permitted(now, ix, Act::Send(e.row.engine))).collect();
+        let good = open.iter().filter(|e| e.standing == Standing::Good).count();
+        let trust_all = (good as f64) < (1.0 - MOST_SUSPECTED) * open.len() as f64;
+        let trial = !self.wlms[stmt.wlm].long && self.facts.workloads[stmt.wlm].effect == Effect::Idempotent;
+        let mut best: Option<(f64, EngineIx)> = None;
+        for engine in &open {
+            let at = engine.row.engine;
+            let avoided = stmt.avoid == Some(at) && open.len() > 1;
+            let tried = trial && stmt.executions == 0 && now >= engine.next_trial && engine.out == 0;
+            let usable = engine.standing == Standing::Good || trust_all || tried;
+            if avoided || !usable || !self.room(now, stmt, engine) {
+                continue;
+            }
+            let distance = distance(engine.ema_point, stmt.point).max(FLOOR);
+            let sends = self.recent.iter().filter(|&&e| e == at).count();
+            let weighted = distance * (sends + 1) as f64 / self.cores(at);
+            if best.is_none_or(|(least, _)| weighted < least) {
+                best = Some((weighted, at));
+            }
+        }
+        best.map(|(_, engine)| engine)
+    }
+
+    /// The companion bounds: under pressure a workload's kind holds no more than so many threads on an engine.
+    fn room(&self, now: Nanos, stmt: &Stmt, engine: &Engine) -> bool {
+        let facts = &self.facts.workloads[stmt.wlm];
+        // Loads that hold a table group: what would stand still behind one goes elsewhere.
+        if facts.waits_for_loads || facts.is_load {
+            let held = self.stmts.iter().flatten().any(|s| {
+                let there = s.out.as_ref().is_some_and(|e| e.engine == engine.row.engine);
+                there && s.group == stmt.group && self.facts.workloads[s.wlm].is_load
+            });
+            if held {
+                return false;
+            }
+        }
+        if now >= engine.pressure_until {
+            return true;
+        }
+        let long = self.wlms[stmt.wlm].long;
+        let bound =
+            engine.share * self.cores(engine.row.engine) * if long { LONG_BOUND } else { SHORT_BOUND };
+        let held = engine.threads[usize::from(long)];
+        held + facts.threads <= bound.max(facts.threads)
+    }
+
+    fn cores(&self, ix: EngineIx) -> f64 {
+        let kind = self.facts.kinds.get(usize::from(self.engines[ix.0].row.kind));
+        kind.map_or(1.0, |k| k.cores).max(1.0)
+    }
+
+    fn send(&mut self, now: Nanos, ix: StmtIx, to: EngineIx, out: &mut dyn Output) {
+        if !self.permitted(now, ix, Act::Send(to)) {
+            return;
+        }
+        self.turn(ix, Stage::Running, out);
+        let Some(stmt) = &mut self.stmts[ix.0] else { return };
+        let (wlm, facts) = (&self.wlms[stmt.wlm], &self.facts.workloads[stmt.wlm]);
+        if stmt.executions > 0 && self.facts.execution_budget.is_some() {
+            self.further.push_back(now);
+        }
+        if self.facts.priority_heeded {
+            let over_share = stmt.importance < facts.importance;
+            out.set_terms(
+                ix,
+                0.0,
+                if over_share {
+                    0
+                } else if wlm.long {
+                    1
+                } else {
+                    3
+                },
+            );
+        }
+        let timeout = stmt.deadline.saturating_sub(now + 2 * self.facts.tick).max(1);
+        out.send(ix, to, timeout);
+        stmt.out = Some(Execution { engine: to, since: now, number: stmt.executions });
+        stmt.executions += 1;
+        let engine = &mut self.engines[to.0];
+        engine.out += 1;
+        engine.threads[usize::from(wlm.long)] += facts.threads;
+        engine.next_trial = now + TRIAL_GAP;
+        engine.ema_point = [0, 1].map(|i| ALPHA * stmt.point[i] + (1.0 - ALPHA) * engine.ema_point[i]);
+        engine.cold_sends.push_back((now, wlm.told_work.max(wlm.estimate)));
+        while engine.cold_sends.front().is_some_and(|&(at, _)| at + self.facts.overload_window < now) {
+            engine.cold_sends.pop_front();
+        }
+        self.recent.push_back(to);
+        if self.recent.len() > RECENT_SENDS {
+            self.recent.pop_front();
+        }
+    }
+
+    fn withdraw(&mut self, ix: StmtIx, out: &mut dyn Output) {
+        let Some(stmt) = &self.stmts[ix.0] else { return };
+        let Some(execution) = &stmt.out else { return };
+        if stmt.stage == Stage::Running && self.facts.may_withdraw {
+            out.withdraw(ix, execution.number);
+            self.turn(ix, Stage::Withdrawing, out);
+        }
+    }
+
+    /// The final answer to a statement that will not be completed, at once: a rejection where the rules allow
+    /// it, with a time to come back, else an abort.
+    fn give_up(&mut self, now: Nanos, ix: StmtIx, out: &mut dyn Output) {
+        if self.permitted(now, ix, Act::Reject) {
+            let come_back = if self.facts.come_back_heeded { self.facts.longest_come_back } else { 0 };
+            out.reject(ix, come_back);
+        } else if self.permitted(now, ix, Act::Abort) {
+            out.abort(ix);
+        } else {
+            return;
+        }
+        self.withdraw(ix, out);
+        self.turn(ix, Stage::Answered, out);
+        self.forget_if_over(ix, out);
+    }
+
+    /// The one function that changes a statement's state.
+    fn turn(&mut self, ix: StmtIx, to: Stage, _out: &mut dyn Output) {
+        let Some(stmt) = &mut self.stmts[ix.0] else { return };
+        if stmt.stage == Stage::Waiting && to != Stage::Waiting {
+            self.wlms[stmt.wlm].queue.retain(|&q| q != ix);
+        }
+        stmt.stage = to;
+    }
+
+    fn forget_if_over(&mut self, ix: StmtIx, out: &mut dyn Output) {
+        let over = |s: &Stmt| s.stage == Stage::Answered && s.out.is_none();
+        let Some(stmt) = self.stmts[ix.0].take_if(|s| over(s)) else { return };
+        if let Some(line) = self.keys.get_mut(&stmt.key) {
+            line.line.retain(|&s| s != ix);
+        }
+        self.in_hand -= 1;
+        out.forget(ix);
+    }
+
+    // ---- the gate ----
+
+    /// The seven rules, asked before every send, rejection and abort.
+    fn permitted(&self, now: Nanos, ix: StmtIx, act: Act) -> bool {
+        let Some(stmt) = &self.stmts[ix.0] else { return false };
+        let facts = &self.facts.workloads[stmt.wlm];
+        // Rule 1: one final answer, and nothing after it.
+        if matches!(stmt.stage, Stage::Answered | Stage::Streaming) {
+            return false;
+        }
+        let to = match act {
+            Act::Abort => return true,
+            // Rule 2: a rejection says that trying again is harmless.
+            Act::Reject => {
+                let clean = stmt.out.is_none() && stmt.may_have_run.is_none();
+                return match facts.effect {
+                    Effect::Idempotent => true,
+                    Effect::Deduplicated => clean || facts.dedup_group == DedupGroup::All,
+                    Effect::NonIdempotent => clean,
+                };
+            }
+            Act::Send(to) => to,
+        };
+        // Rule 1 and second copies: never two executions out, none after the client's time.
+        if stmt.out.is_some() || stmt.executions >= self.facts.max_executions || stmt.deadline <= now {
+            return false;
+        }
+        let engine = &self.engines[to.0];
+        // Rule 2: no second effect.
+        if let Some((first, at)) = stmt.may_have_run {
+            let first = &self.engines[first.0].row;
+            let same_group = match facts.dedup_group {
+                DedupGroup::All => true,
+                DedupGroup::Zone => first.zone == engine.row.zone,
+                DedupGroup::Cell => first.cell == engine.row.cell,
+            };
+            let in_window = now + self.facts.tick < at + facts.dedup_window;
+            let safe = match facts.effect {
+                Effect::Idempotent => true,
+                Effect::Deduplicated => same_group && in_window,
+                Effect::NonIdempotent => false,
+            };
+            if !safe {
+                return false;
+            }
+        }
+        // Rule 3: an engine that drains or is gone gets nothing new; the grace is not used.
+        if engine.row.phase != EnginePhase::Ready || !engine.listed {
+            return false;
+        }
+        // Rule 4: a cold engine gets this gateway's share of its work budget in each window, no more.
+        if engine.row.started_at > 0 && now < engine.row.started_at + self.facts.warm_up {
+            let capacity = CAPACITY_BUSY * self.cores(to) * self.facts.cold_from;
+            let budget = self.facts.overload_factor * capacity * seconds(self.facts.overload_window);
+            let since = now.saturating_sub(self.facts.overload_window);
+            let sent: f64 =
+                engine.cold_sends.iter().filter(|(at, _)| *at >= since).map(|(_, work)| work).sum();
+            let work = self.wlms[stmt.wlm].told_work.max(self.wlms[stmt.wlm].estimate);
+            if sent + work > COLD_SAFETY * budget / self.facts.gateways as f64 {
+                return false;
+            }
+        }
+        // Rule 5: a key's statements one at a time, in turn, and after a doubt the key rests.
+        if let Some(line) = self.keys.get(&stmt.key).filter(|_| stmt.key != 0)
+            && (line.line.front() != Some(&ix) || (stmt.executions == 0 && now < line.rest_until))
+        {
+            return false;
+        }
+        // Rule 6: placement, also when all allowed engines are down or full.
+        let allowed = |list: &Option<Vec<u16>>, at: u16| list.as_ref().is_none_or(|l| l.contains(&at));
+        if !allowed(&facts.allowed_zones, engine.row.zone) || !allowed(&facts.allowed_kinds, engine.row.kind)
+        {
+            return false;
+        }
+        // Rule 7: further executions within their budget.
+        if let Some(budget) = self.facts.execution_budget.as_ref().filter(|_| stmt.executions > 0) {
+            let within =
+                |times: &VecDeque<Nanos>| times.iter().filter(|&&t| t + budget.window >= now).count();
+            let limit = budget.free + budget.per_statement * within(&self.taken) as f64;
+            if (within(&self.further) + 1) as f64 > limit {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// The next chance in [0, 1).
+    fn chance(&mut self) -> f64 {
+        self.chances += 1;
+        unit_hash(&(self.seed, self.chances))
+    }
+}
+
+impl Engine {
+    fn new(row: EngineRow, gateways: usize) -> Self {
+        Engine {
+            row,
+            listed: false,
+            left_at: 0,
+            ema_point: point_of(row.id),
+            out: 0,
+            threads: [0.0; 2],
+            share: 1.0 / gateways.max(1) as f64,
+            standing: Standing::Good,
+            outcomes: u32::MAX,
+            next_trial: 0,
+            heard: 0,
+            took: 0.0,
+            should_take: 0.0,
+            best: f64::MAX,
+            pressure_until: 0,
+            cold_sends: VecDeque::new(),
+        }
+    }
+}
+
+fn turn_engine(engine: &mut Engine, to: Standing, why: &str, figure: f64, out: &mut dyn Output) {
+    if engine.standing != to {
+        out.log(&format!(
+            "engine {} {:?} -> {to:?}: {why} {figure:.2}",
+            engine.row.engine.0, engine.standing
+        ));
+        engine.standing = to;
+    }
+}
+
+fn point_of(id: u64) -> [f64; 2] {
+    [unit_hash(&(id, 0u8)), unit_hash(&(id, 1u8))]
+}
+
+fn unit_hash(value: &impl Hash) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+}
+
+fn distance(a: [f64; 2], b: [f64; 2]) -> f64 {
+    (a[0] - b[0]).hypot(a[1] - b[1])
+}
+
+fn seconds(span: Nanos) -> f64 {
+    span as f64 / SECOND as f64
+}
+
+fn nanos(span: f64) -> Nanos {
+    (span * SECOND as f64) as Nanos
+}
