Keep loads apart from the readers of their table group, and tell peers of them

Loads now have a home point of their own, avoid engines that lately read the group, and readers pass engines where an own or a peer's load holds it. Also covers loads that would wait for each other. Hurts where all engines hold a load of one group: a reader then waits its part and is rejected.

--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -146,6 +146,8 @@
     should_take: f64,
     best: f64,
     pressure_until: Nanos,
+    /// Loads that hold a table group there: the group and whose load it is; each leaves as it ends.
+    loads: Vec<(u32, usize)>,
     /// Work sent while cold; entries leave with the overload window.
     cold_sends: VecDeque<(Nanos, f64)>,
 }
@@ -166,8 +168,8 @@
     wlms: Vec<WorkloadRow>,
     /// By index; grows with the engines ever listed.
     engines: Vec<Engine>,
-    /// The engines of the own last N sends; the oldest leaves as one comes.
-    recent: VecDeque<EngineIx>,
+    /// Engine and table group of the own last N sends; the oldest leaves as one comes.
+    recent: VecDeque<(EngineIx, u32)>,
     keys: BTreeMap<u64, KeyLine>,
     /// Times within the budget's window; older ones are dropped at each use.
     taken: VecDeque<Nanos>,
@@ -175,6 +177,7 @@
     /// What each customer may still send within its share, and when that was worked out.
     allowances: Vec<(f64, Nanos)>,
     short_latency: f64,
+    loads_block_others: bool,
     in_hand: usize,
     wake_is_set: bool,
 }
@@ -197,6 +200,7 @@
                 .map(|c| (c.allowance_per_s * ALLOWANCE_BURST_S, now))
                 .collect(),
             short_latency: seconds(least_slo) / 5.0,
+            loads_block_others: facts.workloads.iter().any(|w| w.waits_for_loads),
             facts,
             seed,
             chances: 0,
@@ -276,7 +280,26 @@
         }
     }
 
-    pub fn peer_said(&mut self, _now: Nanos, _from: usize, _bytes: &[u8], _out: &mut dyn Output) {}
+    /// A peer tells where its loads begin and end: one byte (1 begins, 0 ends), the engine's id, the table group.
+    pub fn peer_said(&mut self, now: Nanos, from: usize, bytes: &[u8], out: &mut dyn Output) {
+        let Ok([begins, id @ .., g0, g1, g2, g3]) = <[u8; 13]>::try_from(bytes) else { return };
+        let (id, group) = (u64::from_le_bytes(id), u32::from_le_bytes([g0, g1, g2, g3]));
+        let Some(engine) = self.engines.iter_mut().find(|e| e.row.id == id) else { return };
+        engine.note_load(group, from, begins == 1);
+        self.dispatch(now, out);
+    }
+
+    /// Keeps the table of loads, own and peers', and tells peers of own ones.
+    fn load_moves(&mut self, engine: EngineIx, group: u32, begins: bool, out: &mut dyn Output) {
+        let engine = &mut self.engines[engine.0];
+        engine.note_load(group, self.facts.me, begins);
+        if self.facts.may_publish && self.facts.gateways > 1 {
+            let mut bytes = vec![u8::from(begins)];
+            bytes.extend(engine.row.id.to_le_bytes());
+            bytes.extend(group.to_le_bytes());
+            out.publish(&bytes);
+        }
+    }
 
     fn read_report(&mut self, now: Nanos, ix: EngineIx, report: &[f32]) {
         let cores = self.cores(ix);
@@ -354,8 +377,11 @@
     // ---- statements ----
 
     pub fn arrive(&mut self, now: Nanos, ix: StmtIx, arrival: Arrival, out: &mut dyn Output) {
-        let wlm = arrival.workload.min(self.wlms.len().saturating_sub(1));
-        let Some(facts) = self.facts.workloads.get(wlm) else { return out.abort(ix) };
+        let wlm = arrival.workload;
+        let Some(facts) = self.facts.workloads.get(wlm) else {
+            out.abort(ix);
+            return out.forget(ix);
+        };
         let row = &mut self.wlms[wlm];
         let mut work = row.told_work;
         if arrival.estimated_work > 0 {
@@ -377,7 +403,8 @@
                 importance *= self.facts.over_share_importance;
             }
         }
-        let group = point_of(u64::from(arrival.table_group));
+        let apart = self.loads_block_others && self.facts.workloads[wlm].is_load;
+        let group = point_of(u64::from(arrival.table_group) | u64::from(apart) << 32);
         let point = [0, 1].map(|axis| group[axis] + OFFSET * (2.0 * self.chance() - 1.0));
         let wait = nanos(WAIT_PART * seconds(self.facts.workloads[wlm].slo_time));
         let stmt = Stmt {
@@ -458,6 +485,7 @@
         let engine = &mut self.engines[execution.engine.0];
         engine.out -= 1;
         engine.threads[usize::from(self.wlms[wlm].long)] -= threads;
+        let group = stmt.group;
         if !ended.outcome.never_ran() {
             stmt.may_have_run.get_or_insert((execution.engine, execution.since));
         }
@@ -481,6 +509,9 @@
             }
             Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
         }
+        if self.facts.workloads[wlm].is_load {
+            self.load_moves(execution.engine, group, false, out);
+        }
         self.read_report(now, execution.engine, ended.report);
         let Some(stmt) = self.stmts[ix.0].as_mut() else { return };
         if ended.closed {
@@ -620,8 +651,12 @@
                 continue;
             }
             let distance = distance(engine.ema_point, stmt.point).max(FLOOR);
-            let sends = self.recent.iter().filter(|&&e| e == at).count();
-            let weighted = distance * (sends + 1) as f64 / self.cores(at);
+            let sends = self.recent.iter().filter(|s| s.0 == at).count();
+            let mut weighted = distance * (sends + 1) as f64 / self.cores(at);
+            if self.loads_block_others && self.facts.workloads[stmt.wlm].is_load {
+                // A load goes where its table group is not read: others would stand still behind it.
+                weighted *= 1.0 + self.recent.iter().filter(|&&s| s == (at, stmt.group)).count() as f64;
+            }
             if best.is_none_or(|(least, _)| weighted < least) {
                 best = Some((weighted, at));
             }
@@ -633,14 +668,8 @@
     fn room(&self, now: Nanos, stmt: &Stmt, engine: &Engine) -> bool {
         let facts = &self.facts.workloads[stmt.wlm];
         // Loads that hold a table group: what would stand still behind one goes elsewhere.
-        if facts.waits_for_loads || facts.is_load {
-            let held = self.stmts.iter().flatten().any(|s| {
-                let there = s.out.as_ref().is_some_and(|e| e.engine == engine.row.engine);
-                there && s.group == stmt.group && self.facts.workloads[s.wlm].is_load
-            });
-            if held {
-                return false;
-            }
+        if (facts.waits_for_loads || facts.is_load) && engine.loads.iter().any(|l| l.0 == stmt.group) {
+            return false;
         }
         if now >= engine.pressure_until {
             return true;
@@ -694,7 +723,11 @@
         while engine.cold_sends.front().is_some_and(|&(at, _)| at + self.facts.overload_window < now) {
             engine.cold_sends.pop_front();
         }
-        self.recent.push_back(to);
+        let (group, is_load) = (stmt.group, facts.is_load);
+        if is_load {
+            self.load_moves(to, group, true, out);
+        }
+        self.recent.push_back((to, group));
         if self.recent.len() > RECENT_SENDS {
             self.recent.pop_front();
         }
@@ -821,7 +854,7 @@
         // Rule 7: further executions within their budget.
         if let Some(budget) = self.facts.execution_budget.as_ref().filter(|_| stmt.executions > 0) {
             let within =
-                |times: &VecDeque<Nanos>| times.iter().filter(|&&t| t + budget.window >= now).count();
+                |times: &VecDeque<Nanos>| times.len() - times.partition_point(|&t| t + budget.window < now);
             let limit = budget.free + budget.per_statement * within(&self.taken) as f64;
             if (within(&self.further) + 1) as f64 > limit {
                 return false;
@@ -855,11 +888,22 @@
             should_take: 0.0,
             best: f64::MAX,
             pressure_until: 0,
+            loads: Vec::new(),
             cold_sends: VecDeque::new(),
         }
     }
 }
 
+impl Engine {
+    fn note_load(&mut self, group: u32, whose: usize, begins: bool) {
+        if begins {
+            self.loads.push((group, whose));
+        } else if let Some(i) = self.loads.iter().position(|l| *l == (group, whose)) {
+            self.loads.swap_remove(i);
+        }
+    }
+}
+
 fn turn_engine(engine: &mut Engine, to: Standing, why: &str, figure: f64, out: &mut dyn Output) {
     if engine.standing != to {
         out.log(&format!(
