Count own threads out beyond the own share of the cores as pressure

Cause: a heavy draw counts as one send, so long statements met on single engines; busy reports come late or not at all (probe-only, delayed) and the bounds never bound. Hurts when the gateways' shares are far from equal: a busy gateway then waits where there is room.

--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -33,6 +33,7 @@
 const BUSY_CPU: f64 = 0.93;
 const BUSY_MEMORY: f64 = 0.95;
 const BUSY_PER_CORE: f64 = 1.3;
+const BUSY_THREADS: f64 = 1.3;
 /// A statement waits for room this part of its SLO time.
 const WAIT_PART: f64 = 0.4;
 /// An engine is judged by this many outcomes, and stands well with so many successes among them.
@@ -130,7 +131,6 @@
 struct Engine {
     row: EngineRow,
     listed: bool,
-    left_at: Nanos,
     ema_point: [f64; 2],
     /// Own executions out there and their threads, of short and of long workloads.
     out: u32,
@@ -231,7 +231,6 @@
             for engine in self.engines.iter_mut().filter(|e| e.listed) {
                 if !rows.iter().any(|r| r.engine == engine.row.engine) {
                     engine.row.phase = EnginePhase::Gone;
-                    engine.left_at = now;
                     engine.listed = false;
                 }
             }
@@ -244,9 +243,6 @@
             if !engine.listed {
                 engine.ema_point = point_of(row.id);
             }
-            if engine.row.phase == EnginePhase::Ready && row.phase != EnginePhase::Ready {
-                engine.left_at = now;
-            }
             if row.started_at > engine.row.started_at {
                 // A restarted process has none of the old one's faults, nor its executions' answers to come.
                 engine.outcomes = u32::MAX;
@@ -671,12 +667,13 @@
         if (facts.waits_for_loads || facts.is_load) && engine.loads.iter().any(|l| l.0 == stmt.group) {
             return false;
         }
-        if now >= engine.pressure_until {
+        let cores = engine.share * self.cores(engine.row.engine);
+        // Costs differ and reports are late: own threads out beyond the own share of the cores are pressure too.
+        if now >= engine.pressure_until && engine.threads[0] + engine.threads[1] < BUSY_THREADS * cores {
             return true;
         }
         let long = self.wlms[stmt.wlm].long;
-        let bound =
-            engine.share * self.cores(engine.row.engine) * if long { LONG_BOUND } else { SHORT_BOUND };
+        let bound = cores * if long { LONG_BOUND } else { SHORT_BOUND };
         let held = engine.threads[usize::from(long)];
         held + facts.threads <= bound.max(facts.threads)
     }
@@ -875,7 +872,6 @@
         Engine {
             row,
             listed: false,
-            left_at: 0,
             ema_point: point_of(row.id),
             out: 0,
             threads: [0.0; 2],
