--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -597,6 +597,12 @@
         }
     }
 
+    /// Statements in hand, executions out and their threads.
+    pub fn in_hand(&self) -> (usize, u32, f64) {
+        let out = self.engines.iter().map(|e| e.out).sum();
+        (self.in_hand, out, self.engines.iter().flat_map(|e| e.threads).sum())
+    }
+
     // ---- placing ----
 
     /// Sends what waits, the most importance per work first; what has waited its part is sent or rejected.
@@ -613,7 +619,7 @@
             if let Some(engine) = self.pick(now, ix) {
                 self.send(now, ix, engine, out);
             } else if waited
-                && self.waits_for_turn(ix)
+                && self.waits_for_turn(now, ix)
                 && now + SECOND < self.stmts[ix.0].as_ref().unwrap().deadline
             {
                 continue;
@@ -623,9 +629,9 @@
         }
     }
 
-    fn waits_for_turn(&self, ix: StmtIx) -> bool {
+    fn waits_for_turn(&self, now: Nanos, ix: StmtIx) -> bool {
         let Some(stmt) = &self.stmts[ix.0] else { return false };
-        self.keys.get(&stmt.key).is_some_and(|line| line.line.front() != Some(&ix))
+        self.keys.get(&stmt.key).is_some_and(|l| l.line.front() != Some(&ix) || now < l.rest_until)
     }
 
     /// The design's pick: distance, at least the floor, times the own recent sends a core; the next best where an
--- /dev/null
+++ b/crates/ivypitch/tests/scenarios.rs
@@ -0,0 +1,391 @@
+//! Plays the text scenarios. One line is one step; `#` begins a comment, times are milliseconds.
+//!
+//! `set NAME VALUE` changes a fact; `workload NAME k=v ..`, `kind cores=8`, `customer allowance=1` add rows; `list
+//! full|delta|cached A k=v / B ..` starts the gateway at first use; `at T` plays the clock with its wakes; `arrive S
+//! WORKLOAD k=v ..`, `end S OUTCOME [report=a,b] [cost=MS]`, `note S share|spills|memory|load [X]`, `under-way S`,
+//! `expire S`, `peer FROM begins|ends ENGINE GROUP` and `probed ENGINE a,b` tell; `expect WORDS` takes the first
+//! action that begins so and drops those before it, `never WORDS` forbids it since then, `idle` wants all sums zero.
+
+use ivypitch::interface::*;
+use ivypitch::rules::Gateway;
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+const MS: Nanos = SECOND / 1000;
+
+#[derive(Default)]
+struct Seen {
+    actions: Vec<String>,
+    stmts: Vec<String>,
+    engines: Vec<String>,
+    /// The engine and number of each statement's last execution.
+    sent: BTreeMap<usize, (EngineIx, u32)>,
+    wakes: Vec<(Nanos, u64)>,
+    now: Nanos,
+}
+
+impl Seen {
+    fn act(&mut self, verb: &str, stmt: StmtIx, more: &str) {
+        self.actions.push(format!("{verb} {} {more}", self.stmts[stmt.0]));
+    }
+}
+
+impl Output for Seen {
+    fn send(&mut self, stmt: StmtIx, engine: EngineIx, _timeout: Nanos) {
+        let number = self.sent.get(&stmt.0).map_or(0, |s| s.1 + 1);
+        self.sent.insert(stmt.0, (engine, number));
+        let name = self.engines[engine.0].clone();
+        self.act("send", stmt, &name);
+    }
+    fn withdraw(&mut self, stmt: StmtIx, _execution: u32) {
+        self.act("withdraw", stmt, "");
+    }
+    fn set_terms(&mut self, stmt: StmtIx, grant_mb: f64, priority: u8) {
+        self.act("terms", stmt, &format!("{grant_mb:.0} {priority}"));
+    }
+    fn reject(&mut self, stmt: StmtIx, come_back: Nanos) {
+        self.act("reject", stmt, &format!("{}", come_back / MS));
+    }
+    fn abort(&mut self, stmt: StmtIx) {
+        self.act("abort", stmt, "");
+    }
+    fn forget(&mut self, stmt: StmtIx) {
+        self.act("forget", stmt, "");
+    }
+    fn wake(&mut self, mark: u64, after: Nanos) {
+        self.wakes.push((self.now + after, mark));
+    }
+    fn probe(&mut self, engine: EngineIx) {
+        self.actions.push(format!("probe {}", self.engines[engine.0]));
+    }
+    fn publish(&mut self, bytes: &[u8]) {
+        self.actions.push(format!("publish {}", bytes[0]));
+    }
+    fn watch_list(&mut self) {
+        self.actions.push("watch".into());
+    }
+    fn log(&mut self, line: &str) {
+        self.actions.push(format!("log {line}"));
+    }
+}
+
+struct Fields<'a>(Vec<&'a str>);
+
+impl Fields<'_> {
+    fn text(&self, name: &str) -> Option<&str> {
+        self.0.iter().find_map(|w| w.strip_prefix(name)?.strip_prefix('='))
+    }
+    fn number(&self, name: &str, otherwise: f64) -> f64 {
+        self.text(name).map_or(otherwise, |v| v.parse().expect(name))
+    }
+    fn ms(&self, name: &str, otherwise: f64) -> Nanos {
+        (self.number(name, otherwise) * MS as f64) as Nanos
+    }
+    fn list<T: std::str::FromStr<Err: std::fmt::Debug>>(&self, name: &str) -> Option<Vec<T>> {
+        self.text(name).map(|v| v.split(',').map(|n| n.parse().expect(name)).collect())
+    }
+}
+
+fn facts() -> Deployment {
+    Deployment {
+        gateways: 1,
+        me: 0,
+        zone: 0,
+        tick: 5 * MS,
+        workloads: vec![],
+        kinds: vec![],
+        customers: vec![],
+        over_share_importance: 0.1,
+        report_fields: vec![ReportField::Inflight, ReportField::Cpu],
+        report_path: ReportPath::WithAnswers,
+        progress_pace: 2 * SECOND,
+        memory_heeded: false,
+        priority_heeded: false,
+        most_grant: 0.4,
+        tells_cost: false,
+        must_ask_for_list: false,
+        must_ask_within: 10 * SECOND,
+        may_probe: false,
+        may_withdraw: true,
+        may_publish: false,
+        come_back_heeded: true,
+        longest_come_back: SECOND,
+        second_copies: false,
+        max_executions: 4,
+        drain_grace: SECOND,
+        answer_grace: 20 * MS,
+        cold_from: 0.3,
+        warm_up: 15 * SECOND,
+        overload_factor: 2.0,
+        overload_window: SECOND,
+        execution_budget: None,
+        key_rest: Some(SECOND),
+        wasted_work_price: 0.0,
+    }
+}
+
+fn set(facts: &mut Deployment, name: &str, value: f64) {
+    let on = value != 0.0;
+    match name {
+        "gateways" => facts.gateways = value as usize,
+        "ask" => facts.must_ask_for_list = on,
+        "probe" => (facts.may_probe, facts.report_path) = (on, ReportPath::ProbesOnly),
+        "publish" => facts.may_publish = on,
+        "memory" => facts.memory_heeded = on,
+        "priority" => facts.priority_heeded = on,
+        "withdraw" => facts.may_withdraw = on,
+        "max-executions" => facts.max_executions = value as u32,
+        "tells-cost" => facts.tells_cost = on,
+        "budget-free" => {
+            let window = 5 * SECOND;
+            facts.execution_budget = Some(ExecutionBudget { window, free: value, per_statement: 0.0 });
+        }
+        other => panic!("unknown fact {other}"),
+    }
+}
+
+fn workload(f: &Fields) -> Workload {
+    Workload {
+        slo_time: f.ms("slo", 500.0),
+        slo_stretch: 1.5,
+        statement_timeout: f.ms("timeout", 4000.0),
+        importance: f.number("importance", 1.0),
+        effect: match f.text("effect") {
+            Some("deduplicated") => Effect::Deduplicated,
+            Some("non-idempotent") => Effect::NonIdempotent,
+            _ => Effect::Idempotent,
+        },
+        dedup_group: match f.text("dedup") {
+            Some("all") => DedupGroup::All,
+            Some("zone") => DedupGroup::Zone,
+            _ => DedupGroup::Cell,
+        },
+        dedup_window: f.ms("window", 1000.0),
+        keeps_order: f.text("order").is_some(),
+        allowed_zones: f.list("zones"),
+        allowed_kinds: f.list("kinds"),
+        threads: f.number("threads", 1.0),
+        is_load: f.text("load").is_some(),
+        waits_for_loads: f.text("waits").is_some(),
+    }
+}
+
+fn outcome(word: &str) -> Outcome {
+    match word {
+        "completed" => Outcome::Completed,
+        "error" => Outcome::Error,
+        "full" => Outcome::Full,
+        "timed-out" => Outcome::TimedOut,
+        "connect-failed" => Outcome::ConnectFailed,
+        "reset" => Outcome::Reset,
+        "cancelled" => Outcome::Cancelled,
+        "moot" => Outcome::Moot,
+        other => panic!("unknown outcome {other}"),
+    }
+}
+
+struct Play {
+    facts: Deployment,
+    gateway: Option<Gateway>,
+    seen: Seen,
+    names: Vec<String>,
+}
+
+impl Play {
+    fn gateway(&mut self) -> (&mut Gateway, &mut Seen) {
+        let (facts, seen) = (&self.facts, &mut self.seen);
+        let gateway = self.gateway.get_or_insert_with(|| {
+            let mut gateway = Gateway::new(facts.clone(), 7, 0);
+            gateway.start(0, seen);
+            gateway
+        });
+        (gateway, seen)
+    }
+
+    fn engine(&mut self, name: &str) -> EngineIx {
+        let engines = &mut self.seen.engines;
+        EngineIx(engines.iter().position(|e| e == name).unwrap_or_else(|| {
+            engines.push(name.into());
+            engines.len() - 1
+        }))
+    }
+
+    /// `@S` stands for the engine that S was sent to last.
+    fn home(&self, word: &str) -> String {
+        let Some(stmt) = word.strip_prefix('@') else { return word.into() };
+        self.seen.engines[self.seen.sent[&self.stmt(stmt).0].0.0].clone()
+    }
+
+    fn stmt(&self, name: &str) -> StmtIx {
+        StmtIx(self.seen.stmts.iter().position(|s| s == name).expect("a statement that came"))
+    }
+
+    fn step(&mut self, line: &str) {
+        let homes: Vec<String> = line.split_whitespace().map(|word| self.home(word)).collect();
+        let words: Vec<&str> = homes.iter().map(String::as_str).collect();
+        let f = Fields(words.clone());
+        let now = self.seen.now;
+        match words[0] {
+            "set" => set(&mut self.facts, words[1], words[2].parse().unwrap()),
+            "workload" => {
+                self.names.push(words[1].into());
+                self.facts.workloads.push(workload(&f));
+            }
+            "kind" => self.facts.kinds.push(EngineKind { cores: f.number("cores", 8.0), memory_mb: 16384.0 }),
+            "customer" => self.facts.customers.push(Customer { allowance_per_s: f.number("allowance", 1.0) }),
+            "list" => {
+                let mut rows = Vec::new();
+                for part in words[2..].split(|&w| w == "/").filter(|p| !p.is_empty()) {
+                    let f = Fields(part.to_vec());
+                    let engine = self.engine(part[0]);
+                    rows.push(EngineRow {
+                        engine,
+                        id: engine.0 as u64 * 77 + 5,
+                        zone: f.number("zone", 0.0) as u16,
+                        kind: f.number("kind", 0.0) as u16,
+                        cell: f.number("cell", 0.0) as u16,
+                        phase: match f.text("phase") {
+                            Some("draining") => EnginePhase::Draining,
+                            Some("gone") => EnginePhase::Gone,
+                            _ => EnginePhase::Ready,
+                        },
+                        weight: f.number("weight", 1.0),
+                        started_at: f.ms("started", 0.0),
+                    });
+                }
+                let kind = match words[1] {
+                    "full" => Some(ListKind::Full),
+                    "cached" => Some(ListKind::Cached),
+                    "delta" => Some(ListKind::Delta),
+                    _ => None,
+                };
+                let (gateway, seen) = self.gateway();
+                match kind {
+                    Some(kind) => gateway.engines_listed(now, kind, &rows, seen),
+                    None => gateway.list_failed(now, seen),
+                }
+            }
+            "at" => {
+                let until = words[1].parse::<Nanos>().unwrap() * MS;
+                while let Some(next) = self.seen.wakes.iter().copied().filter(|w| w.0 <= until).min() {
+                    self.seen.wakes.retain(|w| *w != next);
+                    self.seen.now = next.0;
+                    let (gateway, seen) = self.gateway();
+                    gateway.woken(next.0, next.1, seen);
+                }
+                self.seen.now = until;
+            }
+            "arrive" => {
+                let stmt = StmtIx(self.seen.stmts.len());
+                self.seen.stmts.push(words[1].into());
+                let arrival = Arrival {
+                    workload: self.names.iter().position(|n| n == words[2]).unwrap_or(usize::MAX),
+                    key: f.number("key", 0.0) as u64,
+                    table_group: f.number("group", 1.0) as u32,
+                    time_left: f.ms("left", 4000.0),
+                    is_repeat: false,
+                    customer: f.number("customer", 0.0) as usize,
+                    estimated_mb: f.number("mb", 0.0),
+                    estimated_work: f.ms("work", 100.0),
+                };
+                let (gateway, seen) = self.gateway();
+                gateway.arrive(now, stmt, arrival, seen);
+            }
+            "end" => {
+                let stmt = self.stmt(words[1]);
+                let (engine, number) = self.seen.sent[&stmt.0];
+                let report: Vec<f32> = f.list("report").unwrap_or_default();
+                let outcome = outcome(words[2]);
+                let ended = Ended {
+                    execution: f.number("execution", f64::from(number)) as u32,
+                    engine,
+                    outcome,
+                    took: f.ms("took", 100.0),
+                    closed: outcome == Outcome::Completed || f.text("closed").is_some(),
+                    true_cost: f.text("cost").map(|c| (c.parse().unwrap(), 0.0)),
+                    report: &report,
+                };
+                let (gateway, seen) = self.gateway();
+                gateway.execution_ended(now, stmt, &ended, seen);
+            }
+            "note" => {
+                let stmt = self.stmt(words[1]);
+                let x = || words[3].parse().unwrap();
+                let note = match words[2] {
+                    "share" => Note::ShareDone(x()),
+                    "spills" => Note::SpillsMb(x()),
+                    "memory" => Note::WaitsForMemory,
+                    _ => Note::WaitsForLoad,
+                };
+                let number = self.seen.sent[&stmt.0].1;
+                let (gateway, seen) = self.gateway();
+                gateway.noted(now, stmt, number, note, seen);
+            }
+            "under-way" | "expire" => {
+                let stmt = self.stmt(words[1]);
+                let number = self.seen.sent.get(&stmt.0).map_or(0, |s| s.1);
+                let (gateway, seen) = self.gateway();
+                match words[0] {
+                    "expire" => gateway.expired(now, stmt, seen),
+                    _ => gateway.under_way(now, stmt, number, seen),
+                }
+            }
+            "peer" => {
+                let engine = self.engine(words[3]);
+                let mut bytes = vec![u8::from(words[2] == "begins")];
+                bytes.extend((engine.0 as u64 * 77 + 5).to_le_bytes());
+                bytes.extend(words[4].parse::<u32>().unwrap().to_le_bytes());
+                let (gateway, seen) = self.gateway();
+                gateway.peer_said(now, words[1].parse().unwrap(), &bytes, seen);
+            }
+            "probed" => {
+                let engine = self.engine(words[1]);
+                let report: Vec<f32> = words[2].split(',').map(|v| v.parse().unwrap()).collect();
+                let (gateway, seen) = self.gateway();
+                gateway.probed(now, engine, Outcome::Completed, MS, &report, seen);
+            }
+            "expect" => {
+                let wanted = words[1..].join(" ");
+                let at = self.seen.actions.iter().position(|a| begins(a, &wanted));
+                let at = at.unwrap_or_else(|| panic!("no {wanted:?} in {:#?}", self.seen.actions));
+                self.seen.actions.drain(..=at);
+            }
+            "never" => {
+                let forbidden = words[1..].join(" ");
+                let found = self.seen.actions.iter().find(|a| begins(a, &forbidden));
+                assert!(found.is_none(), "{found:?} in {:#?}", self.seen.actions);
+            }
+            "idle" => {
+                let (gateway, _) = self.gateway();
+                assert_eq!(gateway.in_hand(), (0, 0, 0.0), "statements, executions, threads");
+            }
+            other => panic!("unknown step {other}"),
+        }
+    }
+}
+
+fn begins(action: &str, wanted: &str) -> bool {
+    format!("{} ", action.trim_end()).starts_with(&format!("{wanted} "))
+}
+
+#[test_case("ordinary")]
+#[test_case("rules")]
+#[test_case("endings")]
+#[test_case("health")]
+#[test_case("odd")]
+fn scenario(name: &str) {
+    let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
+    let text = std::fs::read_to_string(path).expect("the scenario's file");
+    // Each `scenario` line starts afresh.
+    for scenario in text.split("\nscenario ").skip(1) {
+        let (title, steps) = scenario.split_once('\n').expect("a title and steps");
+        let mut play = Play { facts: facts(), gateway: None, seen: Seen::default(), names: vec![] };
+        for (i, line) in steps.lines().enumerate() {
+            let line = line.split('#').next().unwrap_or("").trim();
+            if !line.is_empty() {
+                println!("{title}, line {}: {line}", i + 1);
+                play.step(line);
+            }
+        }
+    }
+}
