Let a statement wait a part of its SLO time with its work counted in

Cause: long statements were rejected after a part of the bare SLO time while their SLO grows with their work.

--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -34,7 +34,7 @@
 const BUSY_MEMORY: f64 = 0.95;
 const BUSY_PER_CORE: f64 = 1.3;
 const BUSY_THREADS: f64 = 1.3;
-/// A statement waits for room this part of its SLO time.
+/// A statement waits for room this part of its SLO time, the work counted in.
 const WAIT_PART: f64 = 0.4;
 /// An engine is judged by this many outcomes, and stands well with so many successes among them.
 const LAST_FEW: u32 = 8;
@@ -402,7 +402,9 @@
         let apart = self.loads_block_others && self.facts.workloads[wlm].is_load;
         let group = point_of(u64::from(arrival.table_group) | u64::from(apart) << 32);
         let point = [0, 1].map(|axis| group[axis] + OFFSET * (2.0 * self.chance() - 1.0));
-        let wait = nanos(WAIT_PART * seconds(self.facts.workloads[wlm].slo_time));
+        let facts = &self.facts.workloads[wlm];
+        let slo = seconds(facts.slo_time) + facts.slo_stretch * work / facts.threads.max(1.0);
+        let wait = nanos(WAIT_PART * slo);
         let stmt = Stmt {
             wlm,
             key: if self.facts.workloads[wlm].keeps_order { arrival.key } else { 0 },
