--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -22,7 +22,7 @@
 /// Distance counts at least this part of the plane's side.
 const FLOOR: f64 = 0.1;
 /// Threads per core that the long and the short workloads may hold on an engine under pressure.
-const LONG_BOUND: f64 = 0.9;
+const LONG_BOUND: f64 = 2.0;
 const SHORT_BOUND: f64 = 1.5;
 /// A workload is long when its SLO time is this many times the shortest of the deployment.
 const LONG_SLO: u64 = 2;
@@ -310,7 +310,7 @@
                 ReportField::MemoryGranted => busy |= value >= BUSY_MEMORY,
                 ReportField::Inflight => {
                     busy |= value >= BUSY_PER_CORE * cores;
-                    let share = f64::from(engine.out + 1) / (value + 1.0);
+                    let share = (f64::from(engine.out) + 1.0 / gateways) / (value + 1.0);
                     engine.share += 0.1 * (share.clamp(0.5 / gateways, 1.0) - engine.share);
                 }
                 _ => {}
