--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -23,7 +23,9 @@
 const FLOOR: f64 = 0.1;
 /// Threads per core that the long and the short workloads may hold on an engine under pressure.
 const LONG_BOUND: f64 = 2.0;
-const SHORT_BOUND: f64 = 1.5;
+const SHORT_BOUND: f64 = 2.5;
+/// What is left of these bounds for a customer's statements beyond its share.
+const OVER_SHARE_BOUND: f64 = 0.2;
 /// A workload is long when its SLO time is this many times the shortest of the deployment.
 const LONG_SLO: u64 = 2;
 /// Pressure lasts this long after its last sign.
@@ -681,7 +683,10 @@
             return true;
         }
         let long = self.wlms[stmt.wlm].long;
-        let bound = cores * if long { LONG_BOUND } else { SHORT_BOUND };
+        let mut bound = cores * if long { LONG_BOUND } else { SHORT_BOUND };
+        if stmt.importance < facts.importance {
+            bound *= OVER_SHARE_BOUND;
+        }
         let held = engine.threads[usize::from(long)];
         held + facts.threads <= bound.max(facts.threads)
     }
