Learn how much memory to grant from spills, where grants are heeded

Each workload now follows the factor on the estimate at which few spill. Also covers estimates that are too high. Hurts when memory itself is short: spills then raise grants, up to the upper end.

--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -57,6 +57,12 @@
 const CAPACITY_BUSY: f64 = 0.85;
 /// A customer may run ahead of its allowance by this many seconds of it.
 const ALLOWANCE_BURST_S: f64 = 1.5;
+/// Memory: where the factor on estimates starts, its step at a spill, the spills aimed at for each statement
+/// that does not spill, and its upper end.
+const ENGINES_OWN_FACTOR: f64 = 1.25;
+const MEMORY_STEP: f64 = 0.04;
+const SPILLS_WANTED: f64 = 0.12;
+const MOST_MEMORY_FACTOR: f64 = 4.0;
 /// Smoothing of what is learned of workloads and engines.
 const LEARN: f64 = 0.05;
 const HOUSEKEEPING: Nanos = SECOND / 100;
@@ -99,8 +105,10 @@
     group: u32,
     point: [f64; 2],
     deadline: Nanos,
-    /// Work of all threads in seconds, as far as it can be told.
+    /// Work of all threads in seconds, as far as it can be told, and memory as estimated.
     work: f64,
+    estimated_mb: f64,
+    spilled: bool,
     importance: f64,
     stage: Stage,
     executions: u32,
@@ -119,6 +127,8 @@
     estimate: f64,
     told_work: f64,
     slowness: f64,
+    /// Memory to grant for each MB estimated: enough for most.
+    memory_factor: f64,
     /// Emptied as statements are sent or answered.
     queue: Vec<StmtIx>,
 }
@@ -192,6 +202,7 @@
             estimate: seconds(w.slo_time) / 3.0,
             told_work: seconds(w.slo_time) / 3.0,
             slowness: 1.5,
+            memory_factor: ENGINES_OWN_FACTOR,
             queue: Vec::new(),
         };
         Gateway {
@@ -414,6 +425,8 @@
             point,
             deadline: now.saturating_add(arrival.time_left),
             work: work.max(1e-4),
+            estimated_mb: arrival.estimated_mb,
+            spilled: false,
             importance,
             stage: Stage::Waiting,
             executions: 0,
@@ -462,6 +475,9 @@
         let Some(stmt) = self.stmts.get(ix.0).and_then(Option::as_ref) else { return };
         let Some(e) = stmt.out.as_ref().filter(|e| e.number == execution) else { return };
         self.engines[e.engine.0].heard = now;
+        if let Note::SpillsMb(missing) = note {
+            return self.learn_memory(ix, missing);
+        }
         let Note::ShareDone(done) = note else { return };
         let facts = &self.facts.workloads[stmt.wlm];
         if stmt.stage != Stage::Running || facts.effect != Effect::Idempotent {
@@ -497,6 +513,7 @@
             Outcome::Completed => {
                 engine.heard = now;
                 self.learn(now, ix, &execution, ended);
+                self.learn_memory(ix, 0.0);
                 self.judge(now, execution.engine, true, out);
             }
             Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
@@ -578,6 +595,20 @@
         }
     }
 
+    /// Follows the factor on the estimates that is enough for most statements of a workload. Guards against
+    /// estimates that are too low or too high by workload: the one spills, the other takes memory from others.
+    fn learn_memory(&mut self, ix: StmtIx, missing: f64) {
+        let Some(stmt) = &mut self.stmts[ix.0] else { return };
+        let row = &mut self.wlms[stmt.wlm];
+        if missing <= 0.0 && !stmt.spilled {
+            row.memory_factor /= 1.0 + MEMORY_STEP * SPILLS_WANTED;
+        } else if !stmt.spilled {
+            row.memory_factor *= 1.0 + MEMORY_STEP;
+        }
+        row.memory_factor = row.memory_factor.clamp(0.5, MOST_MEMORY_FACTOR);
+        stmt.spilled |= missing > 0.0;
+    }
+
     fn learn(&mut self, now: Nanos, ix: StmtIx, execution: &Execution, ended: &Ended) {
         let Some(stmt) = &self.stmts[ix.0] else { return };
         let row = &mut self.wlms[stmt.wlm];
@@ -706,19 +737,11 @@
         if stmt.executions > 0 && self.facts.execution_budget.is_some() {
             self.further.push_back(now);
         }
-        if self.facts.priority_heeded {
+        if self.facts.priority_heeded || self.facts.memory_heeded {
             let over_share = stmt.importance < facts.importance;
-            out.set_terms(
-                ix,
-                0.0,
-                if over_share {
-                    0
-                } else if wlm.long {
-                    1
-                } else {
-                    3
-                },
-            );
+            let grant_mb = if self.facts.memory_heeded { stmt.estimated_mb * wlm.memory_factor } else { 0.0 };
+            let priority = if wlm.long { 1 } else { 3 };
+            out.set_terms(ix, grant_mb, if over_share { 0 } else { priority });
         }
         let timeout = stmt.deadline.saturating_sub(now + 2 * self.facts.tick).max(1);
         out.send(ix, to, timeout);
