--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -50,7 +50,7 @@
 const SILENCE: Nanos = SECOND * 6 / 10;
 const SILENCE_LATENCIES: f64 = 5.0;
 /// A plan is bad when its projected time is this many times what its work should take.
-const BAD_PLAN: f64 = 4.0;
+const BAD_PLAN: f64 = 2.5;
 /// Part of a cold engine's work budget that the gateways together use; the rest allows for wrong estimates.
 const COLD_SAFETY: f64 = 0.6;
 /// Share of the cores that is busy at what the operators call capacity.
