--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -52,7 +52,9 @@
 /// A plan is bad when its projected time is this many times what its work should take.
 const BAD_PLAN: f64 = 2.5;
 /// Part of a cold engine's work budget that the gateways together use; the rest allows for wrong estimates.
-const COLD_SAFETY: f64 = 0.6;
+const COLD_SAFETY: f64 = 1.0;
+/// A cold engine is taken to grow at this part of an even pace.
+const COLD_GROWTH: f64 = 0.7;
 /// Share of the cores that is busy at what the operators call capacity.
 const CAPACITY_BUSY: f64 = 0.85;
 /// A customer may run ahead of its allowance by this many seconds of it.
@@ -862,7 +864,9 @@
         }
         // Rule 4: a cold engine gets this gateway's share of its work budget in each window, no more.
         if engine.row.started_at > 0 && now < engine.row.started_at + self.facts.warm_up {
-            let capacity = CAPACITY_BUSY * self.cores(to) * self.facts.cold_from;
+            let age = seconds(now.saturating_sub(engine.row.started_at)) / seconds(self.facts.warm_up);
+            let warm = self.facts.cold_from + COLD_GROWTH * (1.0 - self.facts.cold_from).max(0.0) * age;
+            let capacity = CAPACITY_BUSY * self.cores(to) * warm;
             let budget = self.facts.overload_factor * capacity * seconds(self.facts.overload_window);
             let since = now.saturating_sub(self.facts.overload_window);
             let sent: f64 =
