--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -24,6 +24,8 @@
 /// Threads per core that the long and the short workloads may hold on an engine under pressure.
 const LONG_BOUND: f64 = 2.0;
 const SHORT_BOUND: f64 = 2.5;
+/// Threads per core that all workloads together may hold there.
+const TOTAL_BOUND: f64 = 3.0;
 /// What is left of these bounds for a customer's statements beyond its share.
 const OVER_SHARE_BOUND: f64 = 0.2;
 /// A workload is long when its SLO time is this many times the shortest of the deployment.
@@ -721,7 +723,9 @@
             bound *= OVER_SHARE_BOUND;
         }
         let held = engine.threads[usize::from(long)];
+        let all_held = engine.threads[0] + engine.threads[1];
         held + facts.threads <= bound.max(facts.threads)
+            && all_held + facts.threads <= (TOTAL_BOUND * cores).max(facts.threads)
     }
 
     fn cores(&self, ix: EngineIx) -> f64 {
