--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -69,6 +69,8 @@
 const MOST_MEMORY_FACTOR: f64 = 4.0;
 /// Smoothing of what is learned of workloads and engines.
 const LEARN: f64 = 0.05;
+/// Smoothing of the own share of an engine, by report.
+const SHARE_LEARN: f64 = 0.05;
 const HOUSEKEEPING: Nanos = SECOND / 100;
 const PROBE_GAP: Nanos = SECOND / 2;
 const ASK_GAP: Nanos = SECOND;
@@ -328,7 +330,7 @@
                 ReportField::Inflight => {
                     busy |= value >= BUSY_PER_CORE * cores;
                     let share = (f64::from(engine.out) + 1.0 / gateways) / (value + 1.0);
-                    engine.share += 0.1 * (share.clamp(0.5 / gateways, 1.0) - engine.share);
+                    engine.share += SHARE_LEARN * (share.clamp(0.5 / gateways, 1.0) - engine.share);
                 }
                 _ => {}
             }
