--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -38,6 +38,8 @@
 const BUSY_MEMORY: f64 = 0.95;
 const BUSY_PER_CORE: f64 = 1.3;
 const BUSY_THREADS: f64 = 1.3;
+/// A report counts as fresh for so long.
+const REPORT_FRESH: Nanos = SECOND;
 /// A statement waits for room this part of its SLO time, the work counted in.
 const WAIT_PART: f64 = 0.4;
 /// An engine is judged by this many outcomes, and stands well with so many successes among them.
@@ -154,6 +156,9 @@
     out: u32,
     threads: [f64; 2],
     share: f64,
+    /// Threads of other gateways, by the last reports.
+    others: f64,
+    reported_at: Nanos,
     standing: Standing,
     /// The last few outcomes, newest lowest; 1 is a success.
     outcomes: u32,
@@ -319,6 +324,8 @@
     fn read_report(&mut self, now: Nanos, ix: EngineIx, report: &[f32]) {
         let cores = self.cores(ix);
         let gateways = self.facts.gateways as f64;
+        let (_, out, threads) = self.in_hand();
+        let threads_each = (threads + 1.0) / f64::from(out + 1);
         let engine = &mut self.engines[ix.0];
         let mut busy = false;
         for (field, &value) in self.facts.report_fields.iter().zip(report) {
@@ -329,6 +336,9 @@
                 ReportField::MemoryGranted => busy |= value >= BUSY_MEMORY,
                 ReportField::Inflight => {
                     busy |= value >= BUSY_PER_CORE * cores;
+                    let others = (value - f64::from(engine.out)).max(0.0) * threads_each;
+                    engine.others += 0.3 * (others - engine.others);
+                    engine.reported_at = now;
                     let share = (f64::from(engine.out) + 1.0 / gateways) / (value + 1.0);
                     engine.share += SHARE_LEARN * (share.clamp(0.5 / gateways, 1.0) - engine.share);
                 }
@@ -715,8 +725,12 @@
             return false;
         }
         let cores = engine.share * self.cores(engine.row.engine);
-        // Costs differ and reports are late: own threads out beyond the own share of the cores are pressure too.
-        if now >= engine.pressure_until && engine.threads[0] + engine.threads[1] < BUSY_THREADS * cores {
+        // Costs differ and reports are late: threads out beyond the cores are pressure too, the others' as last
+        // reported, or by the own share.
+        let own = engine.threads[0] + engine.threads[1];
+        let fresh = now < engine.reported_at + REPORT_FRESH;
+        let all = if fresh { own + engine.others } else { own / engine.share };
+        if now >= engine.pressure_until && all < BUSY_THREADS * self.cores(engine.row.engine) {
             return true;
         }
         let long = self.wlms[stmt.wlm].long;
@@ -922,6 +936,8 @@
             out: 0,
             threads: [0.0; 2],
             share: 1.0 / gateways.max(1) as f64,
+            others: 0.0,
+            reported_at: 0,
             standing: Standing::Good,
             outcomes: u32::MAX,
             next_trial: 0,
