Tighten the module: lost words of loads run out, dedup windows end the wait, trials despite stuck executions

Guards against a peer's lost word that a load ended, against holding a deduplicated statement past its window, and against a silent engine that is never tried while a non-idempotent execution is stuck there.

--- a/crates/ivypitch-simhost/src/host.rs
+++ b/crates/ivypitch-simhost/src/host.rs
@@ -264,8 +264,8 @@
                 let _engine = c.engine()?;
                 let execution = u32::from(c.u16()?);
                 let _took = c.u64()?;
-                self.on_stmt(instance, xid, reply, |gateway, stmt, out| {
-                    gateway.under_way(now, stmt, execution, out)
+                self.on_stmt(instance, xid, reply, |gateway, stmt, _| {
+                    gateway.under_way(now, stmt, execution)
                 });
             }
             50 => {
@@ -305,13 +305,13 @@
                 let result = c.u16()?;
                 let outcome =
                     outcome(result).ok_or_else(|| c.malformed(format!("unknown result {result}")))?;
-                let took = c.u64()?;
+                let _took = c.u64()?;
                 let mut report = std::mem::take(&mut self.report);
                 c.report(&mut report)?;
                 self.call(instance, reply, |gateway, names, reply| {
                     let Some(&engine) = names.engine_index.get(&engine) else { return };
                     let out = &mut Wire { reply, instance, names };
-                    gateway.probed(now, EngineIx(engine), outcome, took, &report, out);
+                    gateway.probed(now, EngineIx(engine), outcome == Outcome::Completed, &report, out);
                 });
                 self.report = report;
             }
--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -1,13 +1,13 @@
 //! All decisions of one gateway: where a statement runs, when it waits, runs again, is rejected or aborted.
 //!
-//! How to call it: [`Gateway::new`] with the deployment's facts and a seed, [`Gateway::start`] once, then one call
-//! for each thing that happens, with the clock's time. Each call acts through [`Output`] before it returns. What
-//! the module is told and may do is defined in `interface.rs`. It does no I/O, reads no clock, starts no thread,
-//! and the same calls with the same seed give the same actions.
+//! How to call it: [`Gateway::new`] with the deployment's facts and a seed, [`Gateway::start`] once, then one
+//! call for each thing that happens, with the clock's time. Each call acts through [`Output`] before it
+//! returns. What the module is told and may do is defined in `interface.rs`. It does no I/O, reads no clock,
+//! starts no thread, and the same calls with the same seed give the same actions.
 //!
-//! The ordinary path is BEMA (`docs/design.md`): `pick` chooses, `send` moves the winner's point. What departs
-//! from it stands in `room` (bounds under pressure), `judge` and `listen` (health) and `noted` (bad plans).
-//! `permitted` is the one gate for the seven rules.
+//! The ordinary path is BEMA (`docs/design.md`): `pick` chooses, `send` moves the winner's point. What
+//! departs from it stands in `room` (bounds under pressure), `judge` and `listen` (health) and `noted` (bad
+//! plans). `permitted` is the one gate for the seven rules.
 
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
@@ -17,7 +17,8 @@
 const ALPHA: f64 = 0.1;
 /// N: how many of the own last sends count as load.
 const RECENT_SENDS: usize = 64;
-/// Half the side of the square in which a query point lies around its table group's point; the plane's side is 1.
+/// Half the side of the square in which a query point lies around its table group's point; the plane's side
+/// is 1.
 const OFFSET: f64 = 0.04;
 /// Distance counts at least this part of the plane's side.
 const FLOOR: f64 = 0.1;
@@ -169,8 +170,9 @@
     should_take: f64,
     best: f64,
     pressure_until: Nanos,
-    /// Loads that hold a table group there: the group and whose load it is; each leaves as it ends.
-    loads: Vec<(u32, usize)>,
+    /// Loads that hold a table group there: the group, whose load it is and when it is over at the latest
+    /// (the word of its end may be lost); each leaves as it ends.
+    loads: Vec<(u32, usize, Nanos)>,
     /// Work sent while cold; entries leave with the overload window.
     cold_sends: VecDeque<(Nanos, f64)>,
 }
@@ -216,13 +218,10 @@
             memory_factor: ENGINES_OWN_FACTOR,
             queue: Vec::new(),
         };
+        let burst = |c: &Customer| (c.allowance_per_s * ALLOWANCE_BURST_S, now);
         Gateway {
             wlms: facts.workloads.iter().map(row).collect(),
-            allowances: facts
-                .customers
-                .iter()
-                .map(|c| (c.allowance_per_s * ALLOWANCE_BURST_S, now))
-                .collect(),
+            allowances: facts.customers.iter().map(burst).collect(),
             short_latency: seconds(least_slo) / 5.0,
             loads_block_others: facts.workloads.iter().any(|w| w.waits_for_loads),
             facts,
@@ -285,34 +284,28 @@
         }
     }
 
-    pub fn probed(
-        &mut self,
-        now: Nanos,
-        engine: EngineIx,
-        outcome: Outcome,
-        _took: Nanos,
-        report: &[f32],
-        out: &mut dyn Output,
-    ) {
-        if outcome == Outcome::Completed {
-            self.read_report(now, engine, report);
+    pub fn probed(&mut self, now: Nanos, ix: EngineIx, answered: bool, report: &[f32], out: &mut dyn Output) {
+        if answered {
+            self.read_report(now, ix, report);
             self.dispatch(now, out);
         }
     }
 
-    /// A peer tells where its loads begin and end: one byte (1 begins, 0 ends), the engine's id, the table group.
+    /// A peer tells where its loads begin and end: one byte (1 begins, 0 ends), the engine's id, the table
+    /// group.
     pub fn peer_said(&mut self, now: Nanos, from: usize, bytes: &[u8], out: &mut dyn Output) {
         let Ok([begins, id @ .., g0, g1, g2, g3]) = <[u8; 13]>::try_from(bytes) else { return };
         let (id, group) = (u64::from_le_bytes(id), u32::from_le_bytes([g0, g1, g2, g3]));
         let Some(engine) = self.engines.iter_mut().find(|e| e.row.id == id) else { return };
-        engine.note_load(group, from, begins == 1);
+        let longest = self.facts.workloads.iter().map(|w| w.statement_timeout).max().unwrap_or(0);
+        engine.note_load(now, group, from, (begins == 1).then_some(longest));
         self.dispatch(now, out);
     }
 
     /// Keeps the table of loads, own and peers', and tells peers of own ones.
-    fn load_moves(&mut self, engine: EngineIx, group: u32, begins: bool, out: &mut dyn Output) {
+    fn load_moves(&mut self, now: Nanos, engine: EngineIx, group: u32, begins: bool, out: &mut dyn Output) {
         let engine = &mut self.engines[engine.0];
-        engine.note_load(group, self.facts.me, begins);
+        engine.note_load(now, group, self.facts.me, begins.then_some(Nanos::MAX / 2));
         if self.facts.may_publish && self.facts.gateways > 1 {
             let mut bytes = vec![u8::from(begins)];
             bytes.extend(engine.row.id.to_le_bytes());
@@ -350,9 +343,10 @@
         }
     }
 
-    /// An engine is judged by the successes among its last few outcomes. Guards against engines that fail fast
-    /// and would draw work by being quick; also covers crashes and refused connections before the list knows.
-    /// Hurts when statements themselves are at fault: then the known part of the fleet stays in use all the same.
+    /// An engine is judged by the successes among its last few outcomes. Guards against engines that fail
+    /// fast and would draw work by being quick; also covers crashes and refused connections before the list
+    /// knows. Hurts when statements themselves are at fault: then the known part of the fleet stays in use
+    /// all the same.
     fn judge(&mut self, now: Nanos, ix: EngineIx, success: bool, out: &mut dyn Output) {
         let engine = &mut self.engines[ix.0];
         engine.outcomes = engine.outcomes << 1 | u32::from(success);
@@ -364,10 +358,11 @@
         }
     }
 
-    /// Silence: executions are out, and neither an outcome nor a note has come for far longer than usual. Guards
-    /// against engines that take work and answer none; also covers cut links and crashes the list has not told.
-    /// Idempotent statements are taken away and tried elsewhere. Hurts when a gateway has so little traffic that
-    /// one slow statement looks like silence; the usual latency, which rises when all are slow, limits that.
+    /// Silence: executions are out, and neither an outcome nor a note has come for far longer than usual.
+    /// Guards against engines that take work and answer none; also covers cut links and crashes the list has
+    /// not told. Idempotent statements are taken away and tried elsewhere. Hurts when a gateway has so little
+    /// traffic that one slow statement looks like silence; the usual latency, which rises when all are slow,
+    /// limits that.
     fn listen(&mut self, now: Nanos, out: &mut dyn Output) {
         let limit_short = SILENCE.max(nanos(SILENCE_LATENCIES * self.short_latency));
         let limit_long = self.facts.progress_pace * 3 / 2 + SECOND / 2;
@@ -475,18 +470,19 @@
         }
     }
 
-    pub fn under_way(&mut self, now: Nanos, ix: StmtIx, execution: u32, out: &mut dyn Output) {
+    pub fn under_way(&mut self, now: Nanos, ix: StmtIx, execution: u32) {
         let Some(stmt) = self.stmts.get(ix.0).and_then(Option::as_ref) else { return };
         let Some(e) = stmt.out.as_ref().filter(|e| e.number == execution) else { return };
         self.engines[e.engine.0].heard = now;
         if stmt.stage != Stage::Answered {
-            self.turn(ix, Stage::Streaming, out);
+            self.turn(ix, Stage::Streaming);
         }
     }
 
-    /// Progress of an execution. Guards against bad plans: one that is projected to take many times what its work
-    /// should take, or not to end in time, is withdrawn and drawn anew. Also covers executions that stand still.
-    /// Hurts when estimates are far too low for single statements: their work is then lost once or twice.
+    /// Progress of an execution. Guards against bad plans: one that is projected to take many times what its
+    /// work should take, or not to end in time, is withdrawn and drawn anew. Also covers executions that
+    /// stand still. Hurts when estimates are far too low for single statements: their work is then lost once
+    /// or twice.
     pub fn noted(&mut self, now: Nanos, ix: StmtIx, execution: u32, note: Note, out: &mut dyn Output) {
         let Some(stmt) = self.stmts.get(ix.0).and_then(Option::as_ref) else { return };
         let Some(e) = stmt.out.as_ref().filter(|e| e.number == execution) else { return };
@@ -502,10 +498,8 @@
         let elapsed = seconds(now - e.since);
         let left = elapsed * (1.0 - done).max(0.0) / done.max(0.01);
         let usual = stmt.work / facts.threads.max(1.0) * self.wlms[stmt.wlm].slowness;
-        if elapsed + left > BAD_PLAN * usual
-            && left > 2.0 * usual
-            && stmt.executions < self.facts.max_executions
-        {
+        let may_run_again = stmt.executions < self.facts.max_executions;
+        if may_run_again && left > 2.0 * usual && elapsed + left > BAD_PLAN * usual {
             self.withdraw(ix, out);
         }
     }
@@ -543,23 +537,22 @@
             Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
         }
         if self.facts.workloads[wlm].is_load {
-            self.load_moves(execution.engine, group, false, out);
+            self.load_moves(now, execution.engine, group, false, out);
         }
         self.read_report(now, execution.engine, ended.report);
         let Some(stmt) = self.stmts[ix.0].as_mut() else { return };
         if ended.closed {
-            self.turn(ix, Stage::Answered, out);
+            self.turn(ix, Stage::Answered);
         } else if stmt.stage != Stage::Answered {
             stmt.avoid = Some(execution.engine);
-            let again = now + (stmt.deadline.saturating_sub(now)) / 8;
-            stmt.wait_until = again;
-            let may_run_again = match self.facts.workloads[wlm].effect {
-                Effect::NonIdempotent => stmt.may_have_run.is_none(),
-                _ => true,
+            stmt.wait_until = now + stmt.deadline.saturating_sub(now) / 8;
+            let may_run_again = match (self.facts.workloads[wlm].effect, stmt.may_have_run) {
+                (Effect::Idempotent, _) | (_, None) => stmt.executions < self.facts.max_executions,
+                (Effect::Deduplicated, Some((_, at))) => now < at + self.facts.workloads[wlm].dedup_window,
+                (Effect::NonIdempotent, Some(_)) => false,
             };
-            if may_run_again && stmt.executions < self.facts.max_executions && ended.outcome != Outcome::Moot
-            {
-                self.turn(ix, Stage::Waiting, out);
+            if may_run_again && ended.outcome != Outcome::Moot {
+                self.turn(ix, Stage::Waiting);
                 self.wlms[wlm].queue.push(ix);
             } else {
                 self.give_up(now, ix, out);
@@ -574,7 +567,7 @@
             return;
         }
         self.withdraw(ix, out);
-        self.turn(ix, Stage::Answered, out);
+        self.turn(ix, Stage::Answered);
         self.forget_if_over(ix, out);
         self.dispatch(now, out);
     }
@@ -612,7 +605,8 @@
     }
 
     /// Follows the factor on the estimates that is enough for most statements of a workload. Guards against
-    /// estimates that are too low or too high by workload: the one spills, the other takes memory from others.
+    /// estimates that are too low or too high by workload: the one spills, the other takes memory from
+    /// others.
     fn learn_memory(&mut self, ix: StmtIx, missing: f64) {
         let Some(stmt) = &mut self.stmts[ix.0] else { return };
         let row = &mut self.wlms[stmt.wlm];
@@ -665,28 +659,22 @@
         }
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         for (_, ix) in waiting {
-            let Some(stmt) = &self.stmts[ix.0] else { continue };
-            let waited = now >= stmt.wait_until;
             if let Some(engine) = self.pick(now, ix) {
                 self.send(now, ix, engine, out);
-            } else if waited
-                && self.waits_for_turn(now, ix)
-                && now + SECOND < self.stmts[ix.0].as_ref().unwrap().deadline
-            {
                 continue;
-            } else if waited {
+            }
+            let Some(stmt) = &self.stmts[ix.0] else { continue };
+            // A statement that its key holds back may wait on, within the client's time.
+            let line = self.keys.get(&stmt.key);
+            let held = line.is_some_and(|l| l.line.front() != Some(&ix) || now < l.rest_until);
+            if now >= stmt.wait_until && !(held && now + SECOND < stmt.deadline) {
                 self.give_up(now, ix, out);
             }
         }
     }
 
-    fn waits_for_turn(&self, now: Nanos, ix: StmtIx) -> bool {
-        let Some(stmt) = &self.stmts[ix.0] else { return false };
-        self.keys.get(&stmt.key).is_some_and(|l| l.line.front() != Some(&ix) || now < l.rest_until)
-    }
-
-    /// The design's pick: distance, at least the floor, times the own recent sends a core; the next best where an
-    /// engine has no room.
+    /// The design's pick: distance, at least the floor, times the own recent sends a core; the next best
+    /// where an engine has no room.
     fn pick(&self, now: Nanos, ix: StmtIx) -> Option<EngineIx> {
         let stmt = self.stmts[ix.0].as_ref()?;
         let open: Vec<&Engine> =
@@ -698,7 +686,7 @@
         for engine in &open {
             let at = engine.row.engine;
             let avoided = stmt.avoid == Some(at) && open.len() > 1;
-            let tried = trial && stmt.executions == 0 && now >= engine.next_trial && engine.out == 0;
+            let tried = trial && stmt.executions == 0 && now >= engine.next_trial;
             let usable = engine.standing == Standing::Good || trust_all || tried;
             if avoided || !usable || !self.room(now, stmt, engine) {
                 continue;
@@ -717,16 +705,17 @@
         best.map(|(_, engine)| engine)
     }
 
-    /// The companion bounds: under pressure a workload's kind holds no more than so many threads on an engine.
+    /// The companion bounds: under pressure a workload's kind holds no more than so many threads on an
+    /// engine.
     fn room(&self, now: Nanos, stmt: &Stmt, engine: &Engine) -> bool {
         let facts = &self.facts.workloads[stmt.wlm];
         // Loads that hold a table group: what would stand still behind one goes elsewhere.
-        if (facts.waits_for_loads || facts.is_load) && engine.loads.iter().any(|l| l.0 == stmt.group) {
+        if (facts.waits_for_loads || facts.is_load) && engine.holds(now, stmt.group) {
             return false;
         }
         let cores = engine.share * self.cores(engine.row.engine);
-        // Costs differ and reports are late: threads out beyond the cores are pressure too, the others' as last
-        // reported, or by the own share.
+        // Costs differ and reports are late: threads out beyond the cores are pressure too, the others' as
+        // last reported, or by the own share.
         let own = engine.threads[0] + engine.threads[1];
         let fresh = now < engine.reported_at + REPORT_FRESH;
         let all = if fresh { own + engine.others } else { own / engine.share };
@@ -739,9 +728,8 @@
             bound *= OVER_SHARE_BOUND;
         }
         let held = engine.threads[usize::from(long)];
-        let all_held = engine.threads[0] + engine.threads[1];
-        held + facts.threads <= bound.max(facts.threads)
-            && all_held + facts.threads <= (TOTAL_BOUND * cores).max(facts.threads)
+        let within = |held: f64, bound: f64| held + facts.threads <= bound.max(facts.threads);
+        within(held, bound) && within(own, TOTAL_BOUND * cores)
     }
 
     fn cores(&self, ix: EngineIx) -> f64 {
@@ -753,7 +741,7 @@
         if !self.permitted(now, ix, Act::Send(to)) {
             return;
         }
-        self.turn(ix, Stage::Running, out);
+        self.turn(ix, Stage::Running);
         let Some(stmt) = &mut self.stmts[ix.0] else { return };
         let (wlm, facts) = (&self.wlms[stmt.wlm], &self.facts.workloads[stmt.wlm]);
         if stmt.executions > 0 && self.facts.execution_budget.is_some() {
@@ -780,7 +768,7 @@
         }
         let (group, is_load) = (stmt.group, facts.is_load);
         if is_load {
-            self.load_moves(to, group, true, out);
+            self.load_moves(now, to, group, true, out);
         }
         self.recent.push_back((to, group));
         if self.recent.len() > RECENT_SENDS {
@@ -793,7 +781,7 @@
         let Some(execution) = &stmt.out else { return };
         if stmt.stage == Stage::Running && self.facts.may_withdraw {
             out.withdraw(ix, execution.number);
-            self.turn(ix, Stage::Withdrawing, out);
+            self.turn(ix, Stage::Withdrawing);
         }
     }
 
@@ -809,12 +797,12 @@
             return;
         }
         self.withdraw(ix, out);
-        self.turn(ix, Stage::Answered, out);
+        self.turn(ix, Stage::Answered);
         self.forget_if_over(ix, out);
     }
 
     /// The one function that changes a statement's state.
-    fn turn(&mut self, ix: StmtIx, to: Stage, _out: &mut dyn Output) {
+    fn turn(&mut self, ix: StmtIx, to: Stage) {
         let Some(stmt) = &mut self.stmts[ix.0] else { return };
         if stmt.stage == Stage::Waiting && to != Stage::Waiting {
             self.wlms[stmt.wlm].queue.retain(|&q| q != ix);
@@ -953,10 +941,16 @@
 }
 
 impl Engine {
-    fn note_load(&mut self, group: u32, whose: usize, begins: bool) {
-        if begins {
-            self.loads.push((group, whose));
-        } else if let Some(i) = self.loads.iter().position(|l| *l == (group, whose)) {
+    fn holds(&self, now: Nanos, group: u32) -> bool {
+        self.loads.iter().any(|l| l.0 == group && l.2 > now)
+    }
+
+    /// A load begins and lasts no longer than so, or ends.
+    fn note_load(&mut self, now: Nanos, group: u32, whose: usize, longest: Option<Nanos>) {
+        self.loads.retain(|l| l.2 > now);
+        if let Some(longest) = longest {
+            self.loads.push((group, whose, now + longest));
+        } else if let Some(i) = self.loads.iter().position(|l| (l.0, l.1) == (group, whose)) {
             self.loads.swap_remove(i);
         }
     }
--- a/crates/ivypitch/tests/scenarios.rs
+++ b/crates/ivypitch/tests/scenarios.rs
@@ -327,7 +327,7 @@
                 let (gateway, seen) = self.gateway();
                 match words[0] {
                     "expire" => gateway.expired(now, stmt, seen),
-                    _ => gateway.under_way(now, stmt, number, seen),
+                    _ => gateway.under_way(now, stmt, number),
                 }
             }
             "peer" => {
@@ -342,7 +342,7 @@
                 let engine = self.engine(words[1]);
                 let report: Vec<f32> = words[2].split(',').map(|v| v.parse().unwrap()).collect();
                 let (gateway, seen) = self.gateway();
-                gateway.probed(now, engine, Outcome::Completed, MS, &report, seen);
+                gateway.probed(now, engine, true, &report, seen);
             }
             "expect" => {
                 let wanted = words[1..].join(" ");
