--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -45,7 +45,7 @@
 const WAIT_PART: f64 = 0.4;
 /// An engine is judged by this many outcomes, and stands well with so many successes among them.
 const LAST_FEW: u32 = 8;
-const FEWEST_SUCCESSES: u32 = 6;
+const FEWEST_SUCCESSES: u32 = 3;
 /// A suspected engine is tried again after so long, sooner after a success.
 const TRIAL_GAP: Nanos = SECOND;
 const TRIAL_GAP_AFTER_SUCCESS: Nanos = SECOND / 10;
