Loads hold one table group on at most 0.65 of the engines, so that its readers find room

Told apart from overload by executions at their usual time. Hurts when loads come faster than part of the fleet can take: they wait, then are rejected.

--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -43,6 +43,8 @@
 const REPORT_FRESH: Nanos = SECOND;
 /// A statement waits for room this part of its SLO time, the work counted in.
 const WAIT_PART: f64 = 0.4;
+/// Loads hold one table group on no more than this part of the engines, so that its readers find room.
+const MOST_HELD: f64 = 0.65;
 /// An engine is judged by this many outcomes, and stands well with so many successes among them.
 const LAST_FEW: u32 = 8;
 const FEWEST_SUCCESSES: u32 = 3;
@@ -610,10 +612,9 @@
     fn learn_memory(&mut self, ix: StmtIx, missing: f64) {
         let Some(stmt) = &mut self.stmts[ix.0] else { return };
         let row = &mut self.wlms[stmt.wlm];
-        if missing <= 0.0 && !stmt.spilled {
-            row.memory_factor /= 1.0 + MEMORY_STEP * SPILLS_WANTED;
-        } else if !stmt.spilled {
-            row.memory_factor *= 1.0 + MEMORY_STEP;
+        if !stmt.spilled {
+            let step = if missing > 0.0 { MEMORY_STEP } else { -MEMORY_STEP * SPILLS_WANTED };
+            row.memory_factor *= 1.0 + step;
         }
         row.memory_factor = row.memory_factor.clamp(0.5, MOST_MEMORY_FACTOR);
         stmt.spilled |= missing > 0.0;
@@ -652,11 +653,8 @@
 
     /// Sends what waits, the most importance per work first; what has waited its part is sent or rejected.
     fn dispatch(&mut self, now: Nanos, out: &mut dyn Output) {
-        let mut waiting: Vec<(f64, StmtIx)> = Vec::new();
-        for &ix in self.wlms.iter().flat_map(|w| &w.queue) {
-            let Some(stmt) = &self.stmts[ix.0] else { continue };
-            waiting.push((stmt.importance / stmt.work, ix));
-        }
+        let value = |ix: &StmtIx| Some((self.stmts[ix.0].as_ref().map(|s| s.importance / s.work)?, *ix));
+        let mut waiting: Vec<_> = self.wlms.iter().flat_map(|w| &w.queue).filter_map(value).collect();
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
         for (_, ix) in waiting {
             if let Some(engine) = self.pick(now, ix) {
@@ -681,6 +679,11 @@
             self.engines.iter().filter(|e| self.permitted(now, ix, Act::Send(e.row.engine))).collect();
         let good = open.iter().filter(|e| e.standing == Standing::Good).count();
         let trust_all = (good as f64) < (1.0 - MOST_SUSPECTED) * open.len() as f64;
+        let apart = self.loads_block_others && self.facts.workloads[stmt.wlm].is_load;
+        let held = open.iter().filter(|e| e.holds(now, stmt.group)).count();
+        if apart && held > 0 && (held + 1) as f64 > MOST_HELD * open.len() as f64 {
+            return None;
+        }
         let trial = !self.wlms[stmt.wlm].long && self.facts.workloads[stmt.wlm].effect == Effect::Idempotent;
         let mut best: Option<(f64, EngineIx)> = None;
         for engine in &open {
@@ -694,7 +697,7 @@
             let distance = distance(engine.ema_point, stmt.point).max(FLOOR);
             let sends = self.recent.iter().filter(|s| s.0 == at).count();
             let mut weighted = distance * (sends + 1) as f64 / self.cores(at);
-            if self.loads_block_others && self.facts.workloads[stmt.wlm].is_load {
+            if apart {
                 // A load goes where its table group is not read: others would stand still behind it.
                 weighted *= 1.0 + self.recent.iter().filter(|&&s| s == (at, stmt.group)).count() as f64;
             }
@@ -898,10 +901,14 @@
         }
         // Rule 7: further executions within their budget.
         if let Some(budget) = self.facts.execution_budget.as_ref().filter(|_| stmt.executions > 0) {
-            let within =
-                |times: &VecDeque<Nanos>| times.len() - times.partition_point(|&t| t + budget.window < now);
-            let limit = budget.free + budget.per_statement * within(&self.taken) as f64;
-            if (within(&self.further) + 1) as f64 > limit {
+            // A tick of margin at the window's edge, on the safe side for each.
+            let tick = self.facts.tick;
+            let within = |times: &VecDeque<Nanos>, window: Nanos| {
+                times.len() - times.partition_point(|&t| t + window < now)
+            };
+            let taken = within(&self.taken, budget.window.saturating_sub(2 * tick)) as f64;
+            if (within(&self.further, budget.window) + 1) as f64 > budget.free + budget.per_statement * taken
+            {
                 return false;
             }
         }
@@ -938,9 +945,7 @@
             cold_sends: VecDeque::new(),
         }
     }
-}
 
-impl Engine {
     fn holds(&self, now: Nanos, group: u32) -> bool {
         self.loads.iter().any(|l| l.0 == group && l.2 > now)
     }
