--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -210,7 +210,8 @@
 }
 
 impl Gateway {
-    pub fn new(facts: Deployment, seed: u64, now: Nanos) -> Self {
+    pub fn new(mut facts: Deployment, seed: u64, now: Nanos) -> Self {
+        facts.gateways = facts.gateways.max(1);
         let least_slo = facts.workloads.iter().map(|w| w.slo_time).min().unwrap_or(0);
         let row = |w: &Workload| WorkloadRow {
             long: w.slo_time >= LONG_SLO * least_slo.max(1),
@@ -874,7 +875,7 @@
             return false;
         }
         // Rule 4: a cold engine gets this gateway's share of its work budget in each window, no more.
-        if engine.row.started_at > 0 && now < engine.row.started_at + self.facts.warm_up {
+        if engine.row.started_at > 0 && now < engine.row.started_at.saturating_add(self.facts.warm_up) {
             let age = seconds(now.saturating_sub(engine.row.started_at)) / seconds(self.facts.warm_up);
             let warm = self.facts.cold_from + COLD_GROWTH * (1.0 - self.facts.cold_from).max(0.0) * age;
             let capacity = CAPACITY_BUSY * self.cores(to) * warm;
