--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -39,7 +39,6 @@
 const BUSY_MEMORY: f64 = 0.95;
 const BUSY_PER_CORE: f64 = 1.3;
 const BUSY_THREADS: f64 = 1.3;
-/// A report counts as fresh for so long.
 const REPORT_FRESH: Nanos = SECOND;
 /// A statement waits for room this part of its SLO time, the work counted in.
 const WAIT_PART: f64 = 0.4;
@@ -76,6 +75,7 @@
 const LEARN: f64 = 0.05;
 /// Smoothing of the own share of an engine, by report.
 const SHARE_LEARN: f64 = 0.05;
+const MANY_WAITING: usize = 100;
 const HOUSEKEEPING: Nanos = SECOND / 100;
 const PROBE_GAP: Nanos = SECOND / 2;
 const ASK_GAP: Nanos = SECOND;
@@ -96,7 +96,6 @@
     Answered,
 }
 
-/// What the gate is asked about.
 #[derive(Clone, Copy, PartialEq)]
 enum Act {
     Send(EngineIx),
@@ -159,7 +158,6 @@
     out: u32,
     threads: [f64; 2],
     share: f64,
-    /// Threads of other gateways, by the last reports.
     others: f64,
     reported_at: Nanos,
     standing: Standing,
@@ -205,6 +203,7 @@
     allowances: Vec<(f64, Nanos)>,
     short_latency: f64,
     loads_block_others: bool,
+    dispatched: Nanos,
     in_hand: usize,
     wake_is_set: bool,
 }
@@ -236,6 +235,7 @@
             keys: BTreeMap::new(),
             taken: VecDeque::new(),
             further: VecDeque::new(),
+            dispatched: 0,
             in_hand: 0,
             wake_is_set: false,
         }
@@ -305,7 +305,6 @@
         self.dispatch(now, out);
     }
 
-    /// Keeps the table of loads, own and peers', and tells peers of own ones.
     fn load_moves(&mut self, now: Nanos, engine: EngineIx, group: u32, begins: bool, out: &mut dyn Output) {
         let engine = &mut self.engines[engine.0];
         engine.note_load(now, group, self.facts.me, begins.then_some(Nanos::MAX / 2));
@@ -644,7 +643,6 @@
         }
     }
 
-    /// Statements in hand, executions out and their threads.
     pub fn in_hand(&self) -> (usize, u32, f64) {
         let out = self.engines.iter().map(|e| e.out).sum();
         (self.in_hand, out, self.engines.iter().flat_map(|e| e.threads).sum())
@@ -654,6 +652,12 @@
 
     /// Sends what waits, the most importance per work first; what has waited its part is sent or rejected.
     fn dispatch(&mut self, now: Nanos, out: &mut dyn Output) {
+        // Once for each time of the clock where many wait: the cost must not grow with their square.
+        let many = self.wlms.iter().map(|w| w.queue.len()).sum::<usize>() > MANY_WAITING;
+        if many && self.dispatched == now {
+            return;
+        }
+        self.dispatched = now;
         let value = |ix: &StmtIx| Some((self.stmts[ix.0].as_ref().map(|s| s.importance / s.work)?, *ix));
         let mut waiting: Vec<_> = self.wlms.iter().flat_map(|w| &w.queue).filter_map(value).collect();
         waiting.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
@@ -663,7 +667,6 @@
                 continue;
             }
             let Some(stmt) = &self.stmts[ix.0] else { continue };
-            // A statement that its key holds back may wait on, within the client's time.
             let line = self.keys.get(&stmt.key);
             let held = line.is_some_and(|l| l.line.front() != Some(&ix) || now < l.rest_until);
             if now >= stmt.wait_until && !(held && now + SECOND < stmt.deadline) {
@@ -699,7 +702,6 @@
             let sends = self.recent.iter().filter(|s| s.0 == at).count();
             let mut weighted = distance * (sends + 1) as f64 / self.cores(at);
             if apart {
-                // A load goes where its table group is not read: others would stand still behind it.
                 weighted *= 1.0 + self.recent.iter().filter(|&&s| s == (at, stmt.group)).count() as f64;
             }
             if best.is_none_or(|(least, _)| weighted < least) {
@@ -713,7 +715,6 @@
     /// engine.
     fn room(&self, now: Nanos, stmt: &Stmt, engine: &Engine) -> bool {
         let facts = &self.facts.workloads[stmt.wlm];
-        // Loads that hold a table group: what would stand still behind one goes elsewhere.
         if (facts.waits_for_loads || facts.is_load) && engine.holds(now, stmt.group) {
             return false;
         }
@@ -902,7 +903,6 @@
         }
         // Rule 7: further executions within their budget.
         if let Some(budget) = self.facts.execution_budget.as_ref().filter(|_| stmt.executions > 0) {
-            // A tick of margin at the window's edge, on the safe side for each.
             let tick = self.facts.tick;
             let within = |times: &VecDeque<Nanos>, window: Nanos| {
                 times.len() - times.partition_point(|&t| t + window < now)
@@ -916,7 +916,6 @@
         true
     }
 
-    /// The next chance in [0, 1).
     fn chance(&mut self) -> f64 {
         self.chances += 1;
         unit_hash(&(self.seed, self.chances))
