Too many clients is asked for each statement, not once for each session

Checked and excluded: engine permits (270 free), pressure bounds (no queue). At fault: session.rs, serve() read the number of sessions once, as the session began; one that came while others were still closing was told 1040 for the rest of its life, and as the quickest to answer it drew most requests. Conclusion: what a limit refuses is asked when it is needed.

--- a/crates/ivypitch-gateway/src/actors/session.rs
+++ b/crates/ivypitch-gateway/src/actors/session.rs
@@ -49,7 +49,8 @@
 }
 
 impl Sessions {
-    /// `clients` are served; `told` more are told that there are too many.
+    /// Statements of `clients` sessions are served at once; `told` more sessions may be there, and are told that
+    /// there are too many where that is so.
     pub fn new(
         clients: usize,
         told: usize,
@@ -76,6 +77,12 @@
         (self.here.get(), self.open.get())
     }
 
+    /// More statements are open than clients may be served at once. Asked for each statement: a session that
+    /// came while others were still closing is as good as any.
+    fn too_many(&self) -> bool {
+        self.open.get() > self.clients
+    }
+
     async fn until(&self, done: impl Fn(&Sessions) -> bool) {
         while !done(self) {
             let _ = self.fewer.1.recv().await;
@@ -154,16 +161,15 @@
 pub async fn serve(stream: Async<TcpStream>, place: Place, sessions: Rc<Sessions>) {
     let connection = sessions.last_connection.get().wrapping_add(1).max(1);
     sessions.last_connection.set(connection);
-    let too_many = sessions.here.get() > sessions.clients;
     let mut session =
         Session { stream, input: BytesMut::new(), output: BytesMut::new(), connection, sessions: &sessions };
-    let Err(_over) = session.run(too_many).await;
+    let Err(_over) = session.run().await;
     let _ = session.stream.get_ref().shutdown(Shutdown::Both);
     drop(place);
 }
 
 impl Session<'_> {
-    async fn run(&mut self, too_many: bool) -> Result<std::convert::Infallible, Over> {
+    async fn run(&mut self) -> Result<std::convert::Infallible, Over> {
         let connection = self.connection;
         let scramble = scramble(self.sessions.seed, connection);
         self.writer(0).greeting(connection, &scramble);
@@ -190,7 +196,7 @@
             let _open = OpenMark::new(self.sessions);
             match mysql::read_command(packet.payload)? {
                 Command::Quit => return Err(Over::Quit),
-                Command::Query(_) if too_many => self.writer(sequence).error(TOO_MANY),
+                Command::Query(_) if self.sessions.too_many() => self.writer(sequence).error(TOO_MANY),
                 Command::Query(text) => self.query(text, sequence, at).await?,
                 Command::Ping | Command::ResetConnection => self.writer(sequence).ok(),
                 Command::UseDatabase(name) if name[..] == *DATABASE => self.writer(sequence).ok(),
