No execution after a time-out; a give-up during the start is not forgotten

At fault: rules.rs execution_ended queued a statement again after TimedOut with the last 2 ms before its deadline left, so another execution went out while the first one's DELETE was on its way; and execution.rs start() took a GiveUp out of the mailbox and went on asking if the start was then answered. Also excluded: DELETE overtaking the start (the start is awaited).

--- a/crates/ivypitch-deployment/src/lib.rs
+++ b/crates/ivypitch-deployment/src/lib.rs
@@ -159,7 +159,6 @@
 pub struct Limits {
     pub connect_timeout: Nanos,
     pub idle_close: Nanos,
-    pub most_held: usize,
 }
 
 #[derive(Debug, Default)]
@@ -191,7 +190,6 @@
     let limits = Limits {
         connect_timeout: options.permissions.connect_timeout_ns,
         idle_close: options.permissions.idle_close_ns,
-        most_held: options.permissions.most_held,
     };
     let extra = &options.extra;
     let at = |list: &Vec<bool>, i: usize| list.get(i).copied().unwrap_or(false);
@@ -254,6 +252,11 @@
             .map(|c| Customer { allowance_per_s: c.allowance_per_s })
             .collect(),
         over_share_importance: options.over_share_worth,
+        most_held: if options.permissions.most_held == 0 {
+            usize::MAX
+        } else {
+            options.permissions.most_held
+        },
         report_fields: options.load_info.fields.iter().map(field).collect(),
         report_path: match options.load_info.how.as_str() {
             "piggyback" => ReportPath::WithAnswers,
--- a/crates/ivypitch-gateway/src/actors/execution.rs
+++ b/crates/ivypitch-gateway/src/actors/execution.rs
@@ -1,5 +1,6 @@
 //! One execution at its engine: started, asked for until its end, given up. It ends with one [`End`].
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -26,6 +27,8 @@
     pub start: Start,
     pub report_fields: Rc<Vec<String>>,
     pub mailbox: Receiver<ExecutionMail>,
+    /// A priority that has not been passed on yet.
+    pub priority: Cell<Option<u8>>,
     pub module: Sender<ModuleMail>,
 }
 
@@ -52,6 +55,10 @@
                 return self.ended(link, answer).await;
             }
             self.tell_note(&answer);
+            if let Some(priority) = self.priority.take() {
+                let call = http::write_priority(&self.start.id, priority, &link.host());
+                let _ = within(ASK_AGAIN, self.fresh_call(link, &call)).await;
+            }
             let asked_at = Instant::now();
             answer = match self.ask(link).await {
                 Step::Answered(answer) => answer,
@@ -62,8 +69,7 @@
                 }
                 Step::Mail(ExecutionMail::GiveUp) => return self.give_up(link, asked_at).await,
                 Step::Mail(ExecutionMail::Priority(priority)) => {
-                    let call = http::write_priority(&self.start.id, priority, &link.host());
-                    let _ = within(ASK_AGAIN, self.fresh_call(link, &call)).await;
+                    self.priority.set(Some(priority));
                     Answer { status: 202, ..Answer::default() }
                 }
             };
@@ -79,43 +85,46 @@
         self.mailbox.recv().await.unwrap_or(ExecutionMail::GiveUp)
     }
 
+    /// Returns once it is given up; what comes before that is kept for later.
+    async fn given_up(&self) {
+        while let ExecutionMail::Priority(priority) = self.mail().await {
+            self.priority.set(Some(priority));
+        }
+    }
+
     /// The start, up to its answer. Given up meanwhile, its answer is still awaited for a while: a give-up on
     /// another connection might overtake the start.
     async fn start(&self, link: &Rc<Link>) -> Result<Answer, End> {
-        let connect = async { link.connection().await.map_err(Step::Fault) };
+        let connect = async { link.connection().await.map_err(|_| bare(Outcome::ConnectFailed)) };
         let given_up = async {
-            while let ExecutionMail::Priority(_) = self.mail().await {}
-            Err(Step::Mail(ExecutionMail::GiveUp))
-        };
-        let mut connection = match connect.or(given_up).await {
-            Ok(connection) => connection,
-            Err(Step::Fault(_)) => return Err(bare(Outcome::ConnectFailed)),
-            Err(_) => return Err(bare(Outcome::Cancelled)),
+            self.given_up().await;
+            Err(bare(Outcome::Cancelled))
         };
+        let mut connection = connect.or(given_up).await?;
         let call = http::write_start(&self.start, &link.host());
         if connection.write(&call).await.is_err() {
             // It has not gone out whole.
             return Err(bare(Outcome::ConnectFailed));
         }
         let sent_at = Instant::now();
+        let wanted = Cell::new(true);
         let answered = async { Some(connection.answer().await) };
         let given_up = async {
-            while let ExecutionMail::Priority(_) = self.mail().await {}
+            self.given_up().await;
+            wanted.set(false);
             Timer::after(ASK_AGAIN / 2).await;
             None
         };
-        match answered.or(given_up).await {
-            Some(Ok(answer)) => {
-                link.keep(connection, &answer);
-                Ok(answer)
-            }
-            // It may run all the same: it is asked for on another connection.
-            Some(Err(_)) => Ok(Answer { status: 202, ..Answer::default() }),
-            None => {
-                drop(connection);
-                Err(self.give_up(link, sent_at).await)
-            }
+        // One that broke off may run all the same: it is asked for on another connection.
+        let mut start = Answer { status: 202, ..Answer::default() };
+        if let Some(Ok(answer)) = answered.or(given_up).await {
+            link.keep(connection, &answer);
+            start = answer;
+        }
+        if start.status == 202 && !wanted.get() {
+            return Err(self.give_up(link, sent_at).await);
         }
+        Ok(start)
     }
 
     async fn ask(&self, link: &Rc<Link>) -> Step {
@@ -169,7 +178,7 @@
             let call = http::write_get(&self.start.id, number, &link.host());
             let asked = async { Ok(within(ASK_AGAIN, self.fresh_call(link, &call)).await) };
             let given_up = async {
-                while let ExecutionMail::Priority(_) = self.mail().await {}
+                self.given_up().await;
                 Err(Outcome::Cancelled)
             };
             match asked.or(given_up).await? {
--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -1,6 +1,7 @@
 //! The module's actor: it alone owns the module, tells it what happens and does what it asks for. It keeps
 //! the open statements and all timers, and never waits for a peer.
 
+use std::cell::Cell;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -360,6 +361,7 @@
             start,
             report_fields: self.report_fields.clone(),
             mailbox: letters,
+            priority: Cell::new(None),
             module: self.module.clone(),
         };
         if let Some(Some(actor)) = self.mailboxes.get(engine.0) {
--- a/crates/ivypitch-gateway/src/life/program.rs
+++ b/crates/ivypitch-gateway/src/life/program.rs
@@ -60,7 +60,7 @@
 impl Program {
     /// Brings everything up; an error ends the program before it has taken anything.
     pub fn start(configuration: Configuration, clock: Clock) -> Result<Program, String> {
-        let Configuration { name, listen, seed, sockets, journal, known, given } = configuration;
+        let Configuration { name, listen, seed, sockets, journal, known, mut given } = configuration;
         let listener = Async::<TcpListener>::bind(listen).map_err(|e| format!("listen on {listen}: {e}"))?;
         let executor = Rc::new(LocalExecutor::new());
         let (module, mailbox) = async_channel::unbounded();
@@ -70,6 +70,7 @@
         // for the listener, the journal service, signals and the log.
         let clients = sockets / 3;
         let told = sockets / 16;
+        given.facts.most_held = given.facts.most_held.min(clients);
         let engines = (sockets - clients - told).saturating_sub(48).max(1);
         let sessions =
             session::Sessions::new(clients, told, given.names.clone(), clock, module.clone(), seed);
--- a/crates/ivypitch/src/interface.rs
+++ b/crates/ivypitch/src/interface.rs
@@ -100,6 +100,8 @@
     pub kinds: Vec<EngineKind>,
     pub customers: Vec<Customer>,
     pub over_share_importance: f64,
+    /// How many statements may be open at this gateway; what comes beyond never reaches it.
+    pub most_held: usize,
     pub report_fields: Vec<ReportField>,
     pub report_path: ReportPath,
     pub progress_pace: Nanos,
--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -478,9 +478,8 @@
         }
     }
 
-    /// Progress of an execution. Guards against bad plans: one projected to take many times what its work
-    /// should take is withdrawn and drawn anew. Also covers executions that stand still. Hurts when estimates
-    /// are far too low for single statements: their work is lost once or twice.
+    /// Guards against bad plans: one projected to take many times what its work should take is withdrawn and
+    /// drawn anew; covers executions that stand still. Hurts when estimates are far too low: work is lost.
     pub fn noted(&mut self, now: Nanos, ix: StmtIx, execution: u32, note: Note, out: &mut dyn Output) {
         let Some(stmt) = self.stmts.get_mut(ix.0).and_then(Option::as_mut) else { return };
         let Some(e) = stmt.out.as_mut().filter(|e| e.number == execution) else { return };
@@ -540,7 +539,9 @@
             let facts = &self.facts.workloads[wlm];
             let ran_at = stmt.may_have_run.filter(|_| facts.effect != Effect::Idempotent).map(|(_, at)| at);
             let dropped = |at| facts.effect == Effect::Deduplicated && now < at + facts.dedup_window;
-            let left = stmt.executions < self.facts.max_executions && ended.outcome != Outcome::Moot;
+            // A time-out is the statement's own: no time is left for another execution.
+            let over = matches!(ended.outcome, Outcome::Moot | Outcome::TimedOut);
+            let left = stmt.executions < self.facts.max_executions && !over;
             if left && ran_at.is_none_or(dropped) {
                 self.turn(ix, Stage::Waiting);
                 self.wlms[wlm].queue.push(ix);
@@ -589,8 +590,7 @@
     }
 
     /// Follows the factor on the estimates that is enough for most statements of a workload. Guards against
-    /// estimates that are too low or too high by workload: the one spills, the other takes memory from
-    /// others.
+    /// estimates too low or too high by workload: the one spills, the other takes memory from others.
     fn learn_memory(&mut self, ix: StmtIx, missing: f64) {
         let Some(stmt) = &mut self.stmts[ix.0] else { return };
         let factor = &mut self.wlms[stmt.wlm].memory_factor;
