The last of the clients' places are for statements that earn much for their time

Seen: on fleet-1 69,164 tries found no connection: all 341 places that clients may hold at a gateway were taken, by a quarter with late reports, and what was turned away at the door was chance, not the module's choice. A trace of place-seconds by class and answer: lookups in time earn 11.6 a second of place, reports in time 8.9, late reports 0.85. Excluded: engine permits (over 200 free), bounds on threads (1.3 a core). The module now knows how many places there are (permissions.most-held, at a gateway no more than a third of the descriptors): the last 15% go to statements by importance per estimated time; the others are rejected at once with a time to come back. Instead the gateway tells a time-out once the execution is given up, with the statement's deadline at the latest.

--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -202,14 +202,7 @@
         let now = world.now;
         match due {
             Due::Wake { mark } => gateway.woken(now, mark, world),
-            Due::ExecutionTimesOut { stmt, serial, number } => {
-                let Some(open) = world.stmts.get_same(StmtIx(stmt), serial) else { return };
-                let Some(out) = open.out.as_ref().filter(|out| out.number == number) else { return };
-                let _ = out.mailbox.try_send(ExecutionMail::GiveUp);
-                let key = ExecutionKey { stmt: StmtIx(stmt), serial, number, engine: out.engine };
-                let end = End { outcome: Outcome::TimedOut, true_cost: None, report: Vec::new(), rows: None };
-                self.ended(key, end);
-            }
+            Due::ExecutionTimesOut { stmt, serial, number } => self.time_out(StmtIx(stmt), serial, number),
             Due::StatementOver { stmt, serial } => {
                 let stmt = StmtIx(stmt);
                 if world.stmts.get_same(stmt, serial).is_some_and(|open| open.client.is_some()) {
@@ -220,6 +213,24 @@
         }
     }
 
+    /// An execution's time is over: it is given up, and over for the module once that is done, so that no other
+    /// goes out beside it; with the statement's own time at the latest, however silent the engine is.
+    fn time_out(&mut self, stmt: StmtIx, serial: u64, number: u32) {
+        let world = &mut self.world;
+        let Some(open) = world.stmts.get_same(stmt, serial) else { return };
+        let Some(out) = open.out.as_mut().filter(|out| out.number == number) else { return };
+        let _ = out.mailbox.try_send(ExecutionMail::GiveUp);
+        let key = ExecutionKey { stmt, serial, number, engine: out.engine };
+        if open.deadline > world.now {
+            out.timed_out = true;
+            out.times_out_at = open.deadline;
+            world.timers.set(open.deadline, Due::ExecutionTimesOut { stmt: stmt.0, serial, number });
+        } else {
+            let end = End { outcome: Outcome::TimedOut, true_cost: None, report: Vec::new(), rows: None };
+            self.ended(key, end);
+        }
+    }
+
     /// Ends an execution for the module, unless that has been done.
     fn ended(&mut self, key: ExecutionKey, end: End) {
         let Module { gateway, world } = self;
@@ -230,10 +241,11 @@
             world.answer(key.stmt, Answer::Completed(rows));
         }
         let closed = world.stmts.get(key.stmt).is_none_or(|open| open.client.is_none());
+        let late = out.timed_out && end.outcome == Outcome::Cancelled;
         let ended = Ended {
             execution: key.number,
             engine: key.engine,
-            outcome: end.outcome,
+            outcome: if late { Outcome::TimedOut } else { end.outcome },
             took: world.now.saturating_sub(out.sent_at),
             closed,
             true_cost: end.true_cost,
@@ -353,7 +365,8 @@
         let (mailbox, letters) = async_channel::unbounded();
         let times_out_at = now + timeout;
         open.executions += 1;
-        open.out = Some(Out { number: key.number, engine, sent_at: now, times_out_at, mailbox });
+        open.out =
+            Some(Out { number: key.number, engine, sent_at: now, times_out_at, timed_out: false, mailbox });
         let due = Due::ExecutionTimesOut { stmt: stmt.0, serial: key.serial, number: key.number };
         self.timers.set(times_out_at, due);
         let execution = Execution {
--- a/crates/ivypitch-gateway/src/memory/statements.rs
+++ b/crates/ivypitch-gateway/src/memory/statements.rs
@@ -14,6 +14,8 @@
     pub engine: EngineIx,
     pub sent_at: Nanos,
     pub times_out_at: Nanos,
+    /// Its time is over and it is being given up.
+    pub timed_out: bool,
     pub mailbox: Sender<ExecutionMail>,
 }
 
--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -1,13 +1,10 @@
 //! All decisions of one gateway: where a statement runs, when it waits, runs again, is rejected or aborted.
-//!
 //! How to call it: [`Gateway::new`] with the deployment's facts and a seed, [`Gateway::start`] once, then one
-//! call for each thing that happens, with the clock's time. Each call acts through [`Output`] before it
-//! returns. What the module is told and may do is defined in `interface.rs`. It does no I/O, reads no clock,
-//! starts no thread, and the same calls with the same seed give the same actions.
-//!
-//! The ordinary path is BEMA (`docs/design.md`): `pick` chooses, `send` moves the winner's point. What
-//! departs from it stands in `room` and `ask_first` (bounds under pressure), `cores_left` (bound workloads),
-//! `judge` and `listen` (health) and `noted` (bad plans). `permitted` is the one gate for the seven rules.
+//! call for each thing that happens, with the clock's time; it acts through [`Output`] before it returns
+//! (`interface.rs`). No I/O, clock or thread; the same calls with the same seed give the same actions. The
+//! ordinary path is BEMA (`docs/design.md`): `pick` chooses, `send` moves the winner's point. Departures are
+//! in `room`, `has_place`, `ask_first` (bounds under pressure), `cores_left` (bound workloads), `judge`,
+//! `listen` (health) and `noted` (bad plans). `permitted` is the one gate for the seven rules.
 
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
@@ -21,13 +18,11 @@
 const OFFSET: f64 = 0.04;
 /// Distance counts at least this part of the plane's side.
 const FLOOR: f64 = 0.1;
-/// Threads per core that the long and the short workloads may hold on an engine under pressure.
+/// Threads per core that the long, the short and all workloads may hold on an engine under pressure.
 const LONG_BOUND: f64 = 3.0;
 const SHORT_BOUND: f64 = 3.5;
-/// Threads per core that all workloads together may hold there.
 const TOTAL_BOUND: f64 = 3.5;
-/// Under pressure these bounds are full up to this part of a workload's usual work, then narrow as the work
-/// grows, no further than this.
+/// Under pressure these are full up to this part of a workload's usual work, then narrow as it grows to this.
 const WORTH_FULL: f64 = 0.6;
 const WORTH_LEAST: f64 = 0.3;
 /// What is left of these bounds for a customer's statements beyond its share.
@@ -57,35 +52,33 @@
 const SENDS_PER_TRIAL: u32 = 16;
 /// No more than this part of the engines open to a statement is left out as suspected.
 const MOST_SUSPECTED: f64 = 0.5;
-/// An execution is lost when no word of it came for so many times its usual time, or for one and a half paces
-/// of the notes; at least this.
+/// An execution is lost with no word for so many times its usual time, or 1.5 paces of notes; at least this.
 const LOST: f64 = 3.0;
 const LEAST_PATIENCE: Nanos = SECOND * 6 / 10;
 /// A plan is bad when its projected time is this many times what its work should take.
 const BAD_PLAN: f64 = 2.5;
-/// Part of a cold engine's cores that the work budget counts: so many are busy at what the operators call
-/// capacity; slow growth and parts rounded down allow for wrong estimates.
+/// Part of a cold engine's cores that the work budget counts: so many are busy at the operators' capacity.
 const COLD_SAFETY: f64 = 0.85;
 /// A cold engine is taken to grow at this part of an even pace.
 const COLD_GROWTH: f64 = 0.7;
 /// A customer may run ahead of its allowance by this many seconds of it.
 const ALLOWANCE_BURST_S: f64 = 1.5;
-/// Memory: where the factor on estimates starts, its step at a spill, the spills aimed at for each statement
-/// that does not spill, and its upper end.
+/// Memory: the first factor on estimates, its step at a spill, spills wanted for each without, its upper end.
 const ENGINES_OWN_FACTOR: f64 = 1.25;
 const MEMORY_STEP: f64 = 0.2;
 const SPILLS_WANTED: f64 = 0.12;
 const MOST_MEMORY_FACTOR: f64 = 4.0;
-/// Smoothing of what is learned of workloads and engines.
+/// Smoothing of what is learned of workloads and engines, and of what is asked for, by statement.
 const LEARN: f64 = 0.05;
-/// Smoothing of the work asked for, by statement.
 const DEMAND_LEARN: f64 = 0.01;
 /// An engine counts at least this part of its cores.
 const LEAST_LEFT: f64 = 0.3;
 const MANY_WAITING: usize = 8;
+/// This part of the places for statements is for all, the last for those that earn so many times the usual.
+const PLACES_FREE: f64 = 0.85;
+const EARNS_FULL: f64 = 1.4;
 const HOUSEKEEPING: Nanos = SECOND / 100;
-/// A long statement asks its engine first, where no report is fresh: it waits so long for the answer, and
-/// asks no more than so many engines.
+/// A long statement asks its engine first, where no report is fresh: so long, and no more than so many.
 const ASK_WAIT: Nanos = SECOND * 3 / 100;
 const ASKS: usize = 2;
 const MARK_HOUSEKEEPING: u64 = 0;
@@ -143,7 +136,6 @@
     asks: usize,
 }
 
-/// What differs by workload and is not a fact of the deployment.
 #[derive(Default)]
 struct WorkloadRow {
     long: bool,
@@ -207,8 +199,7 @@
     /// Engine and table group of the own last N sends; the oldest leaves as one comes.
     recent: VecDeque<(EngineIx, u32)>,
     keys: BTreeMap<u64, KeyLine>,
-    /// Loads that hold a table group on an engine, by `load_tag`: how many, and when they are over at the
-    /// latest, since the word of an end may be lost; they leave then or as they end.
+    /// Loads that hold a table group on an engine, by `load_tag`: how many, and until when at the latest.
     loads: BTreeMap<u32, (u32, Nanos)>,
     /// Times within the budget's window; older ones are dropped at each use.
     taken: VecDeque<Nanos>,
@@ -218,6 +209,8 @@
     loads_block_others: bool,
     dispatched: Nanos,
     in_hand: usize,
+    /// Importance of a statement, smoothed.
+    importance: f64,
     listed: usize,
     /// Part of the reports that show pressure, smoothed.
     pressed: f64,
@@ -256,8 +249,6 @@
         }
     }
 
-    // ---- engines ----
-
     pub fn engines_listed(&mut self, now: Nanos, kind: ListKind, rows: &[EngineRow], out: &mut dyn Output) {
         if kind != ListKind::Delta {
             for engine in &mut self.engines {
@@ -298,7 +289,7 @@
         self.dispatch(now, out);
     }
 
-    /// A peer tells where a load of its own begins or ends: `load_tag` times two, plus one where it begins.
+    /// A peer tells where a load of its own begins or ends: `load_tag` times two, plus one at its begin.
     pub fn peer_said(&mut self, now: Nanos, bytes: &[u8]) {
         let Ok(bytes) = <[u8; 4]>::try_from(bytes) else { return };
         let word = u32::from_le_bytes(bytes);
@@ -359,10 +350,9 @@
         }
     }
 
-    /// An engine is judged by the successes among its last few outcomes. Guards against engines that fail
-    /// fast and would draw work by being quick; also covers crashes, refused connections and lost executions
-    /// before the list knows. Old outcomes don't count, so that one failure tells where little is seen.
-    /// Hurts when statements themselves are at fault: then most of the fleet stays in use all the same.
+    /// An engine is judged by the successes among its last few, recent outcomes. Guards against engines that
+    /// fail fast and draw work, crashes, refused connections and lost executions before the list knows. Hurts
+    /// when statements are at fault: then most of the fleet stays in use all the same.
     fn judge(&mut self, now: Nanos, ix: EngineIx, success: bool, out: &mut dyn Output) {
         let engine = &mut self.engines[ix.0];
         engine.outcomes.push_back((now, success));
@@ -375,10 +365,9 @@
         }
     }
 
-    /// Lost executions: no word for far longer than such statements take. Guards against engines that take
-    /// work and answer none, and answers lost on engines that answer others; also covers cut links and
-    /// crashes the list has not told. Counts as a failure of the engine; an idempotent statement is tried
-    /// elsewhere, once: where all are slow that at most doubles the work, until the usual time has followed.
+    /// Lost executions: no word for far longer than such statements take. Guards against engines that answer
+    /// nothing, lost answers, cut links and crashes the list has not told. Counts as a failure of the engine;
+    /// an idempotent statement is tried elsewhere, once: where all are slow that doubles the work.
     fn listen(&mut self, now: Nanos, out: &mut dyn Output) {
         for s in 0..self.stmts.len() {
             let Some(stmt) = self.stmts[s].as_mut() else { continue };
@@ -434,6 +423,7 @@
                 importance *= self.facts.over_share_importance;
             }
         }
+        self.importance += DEMAND_LEARN * (importance - self.importance);
         let apart = self.loads_block_others && facts.is_load;
         let group = point_of(u64::from(arrival.table_group) | u64::from(apart) << 32);
         let slo = seconds(facts.slo_time) + facts.slo_stretch * work / facts.threads.max(1.0);
@@ -539,9 +529,7 @@
             let facts = &self.facts.workloads[wlm];
             let ran_at = stmt.may_have_run.filter(|_| facts.effect != Effect::Idempotent).map(|(_, at)| at);
             let dropped = |at| facts.effect == Effect::Deduplicated && now < at + facts.dedup_window;
-            // A time-out is the statement's own: no time is left for another execution.
-            let over = matches!(ended.outcome, Outcome::Moot | Outcome::TimedOut);
-            let left = stmt.executions < self.facts.max_executions && !over;
+            let left = stmt.executions < self.facts.max_executions && ended.outcome != Outcome::Moot;
             if left && ran_at.is_none_or(dropped) {
                 self.turn(ix, Stage::Waiting);
                 self.wlms[wlm].queue.push(ix);
@@ -630,7 +618,7 @@
 
     // ---- placing ----
 
-    /// Sends what waits, the most importance per work first; what has waited its part is sent or rejected.
+    /// Sends what waits, most importance per work first; what has waited its part is sent or rejected.
     fn dispatch(&mut self, now: Nanos, out: &mut dyn Output) {
         // Once for each time of the clock where many wait: the cost must not grow with their square.
         let many = self.wlms.iter().map(|w| w.queue.len()).sum::<usize>() > MANY_WAITING;
@@ -648,7 +636,8 @@
             let facts = &self.facts.workloads[stmt.wlm];
             let kind = (stmt.wlm, stmt.importance < facts.importance, stmt.asks);
             let alike = stmt.key == 0 && stmt.executions == 0 && !facts.is_load && !facts.waits_for_loads;
-            if !alike || !no_room.contains(&kind) {
+            let place = self.has_place(stmt);
+            if place && (!alike || !no_room.contains(&kind)) {
                 if let Some(engine) = self.pick(now, ix) {
                     if !self.ask_first(now, ix, engine, out) {
                         self.send(now, ix, engine, out);
@@ -660,7 +649,7 @@
             let Some(stmt) = &self.stmts[ix.0] else { continue };
             let line = self.keys.get(&stmt.key);
             let held = line.is_some_and(|l| l.line.front() != Some(&ix) || now < l.rest_until);
-            if now >= stmt.wait_until && !(held && now + SECOND < stmt.deadline) {
+            if !place || now >= stmt.wait_until && !(held && now + SECOND < stmt.deadline) {
                 self.give_up(now, ix, out);
             }
         }
@@ -725,9 +714,9 @@
         best.map(|(_, _, engine)| engine)
     }
 
-    /// The companion bounds: under pressure a workload's kind holds no more than so many threads on an
-    /// engine: this gateway's share of them, or what the others leave of them by a fresh report. None where
-    /// there is no room, else whether the engine shows pressure.
+    /// The companion bounds: under pressure a workload's kind holds so many threads on an engine: this
+    /// gateway's share, or what others leave by a fresh report. None: no room, else whether the engine is
+    /// pressed.
     fn room(&self, now: Nanos, stmt: &Stmt, engine: &Engine) -> Option<bool> {
         let facts = &self.facts.workloads[stmt.wlm];
         let held = (facts.waits_for_loads || facts.is_load) && self.holds(now, engine, stmt.group);
@@ -735,8 +724,7 @@
             return None;
         }
         let cores = self.cores(engine.row.engine);
-        // Costs differ and reports are late: threads out beyond the cores are pressure too, the others' as
-        // last reported, or by the own share.
+        // Threads beyond the cores are pressure too, the others' as last reported, or by the own share.
         let own = engine.threads[0] + engine.threads[1];
         let gateways = self.facts.gateways as f64;
         let fresh = now < engine.reported_at + REPORT_FRESH;
@@ -757,9 +745,19 @@
         (within(engine.threads[usize::from(long)], kind_bound) && within(own, TOTAL_BOUND)).then_some(true)
     }
 
-    /// An engine's cores, less what workloads bound to fewer engines need there for all to be equally busy.
-    /// Guards against statements that may run anywhere filling the only engines of others. Hurts for a while
-    /// when the mix changes.
+    /// The last of the clients' places are for statements that earn much for the time they take. Guards
+    /// against few that run long keeping out many. Hurts where estimates mislead.
+    fn has_place(&self, stmt: &Stmt) -> bool {
+        let time = |work: f64, wlm: usize| work / self.facts.workloads[wlm].threads.max(1.0);
+        let usual: f64 = (0..self.wlms.len()).map(|w| time(self.wlms[w].demand, w)).sum();
+        let earns = stmt.importance / time(stmt.work, stmt.wlm);
+        let part = (earns * usual / self.importance.max(1e-9) / EARNS_FULL).min(1.0);
+        let places = self.facts.most_held as f64;
+        self.in_hand as f64 <= places * (PLACES_FREE + (1.0 - PLACES_FREE) * part)
+    }
+
+    /// An engine's cores, less what workloads bound to fewer engines need there. Guards against statements
+    /// that may run anywhere filling the only engines of others. Hurts for a while when the mix changes.
     fn cores_left(&self, wlm: usize, engine: &Engine) -> f64 {
         let all = self.wlms.iter().map(|r| r.demand).sum::<f64>().max(1e-9);
         let open = self.wlms[wlm].open_cores;
@@ -905,8 +903,8 @@
         if !engine.ready() {
             return false;
         }
-        // Rule 4: a cold engine gets no more than its work budget in each window. So many gateways share it
-        // that each part holds a statement; which ones follows from its start, known to all alike.
+        // Rule 4: a cold engine gets its work budget in each window, shared by so many gateways that each
+        // part holds a statement; which ones follows from its start, known to all alike.
         if engine.row.started_at > 0 && now < engine.row.started_at.saturating_add(self.facts.warm_up) {
             let age = seconds(now.saturating_sub(engine.row.started_at)) / seconds(self.facts.warm_up);
             let warm = self.facts.cold_from + COLD_GROWTH * (1.0 - self.facts.cold_from).max(0.0) * age;
@@ -970,7 +968,7 @@
     }
 }
 
-/// What stands for a table group on an engine in the words of peers.
+/// A table group on an engine in the words of peers.
 pub fn load_tag(engine_id: u64, group: u32) -> u32 {
     (unit_hash(&(engine_id, group)) * f64::from(1u32 << 31)) as u32
 }
--- a/crates/ivypitch/tests/scenarios.rs
+++ b/crates/ivypitch/tests/scenarios.rs
@@ -93,6 +93,7 @@
         gateways: 1,
         tick: 5 * MS,
         over_share_importance: 0.1,
+        most_held: usize::MAX,
         report_fields: vec![ReportField::Inflight, ReportField::Cpu],
         progress_pace: 2 * SECOND,
         may_withdraw: true,
@@ -117,6 +118,7 @@
         "ask" => facts.must_ask_for_list = on,
         "publish" => facts.may_publish = on,
         "memory" => facts.memory_heeded = on,
+        "places" => facts.most_held = value as usize,
         "priority" => facts.priority_heeded = on,
         "budget-free" => {
             let window = 5 * SECOND;
