--- a/crates/ivypitch-gateway/src/actors/list.rs
+++ b/crates/ivypitch-gateway/src/actors/list.rs
@@ -56,10 +56,9 @@
         while let Some(end) = input.iter().position(|&b| b == b'\n') {
             let line = input.split_to(end + 1);
             match journal::read_line(&line) {
-                Ok(Line::Last(number)) if number > *last => return format!("events up to {number} missing"),
+                Ok(Line::Last(number)) if number != *last => return format!("last is {number}, not {last}"),
                 Ok(Line::Last(_)) => {}
-                Ok(Line::Event(event)) if event.pos <= *last => {}
-                Ok(Line::Event(event)) if event.pos > *last + 1 => {
+                Ok(Line::Event(event)) if event.pos != *last + 1 => {
                     return format!("event {} after {last}", event.pos);
                 }
                 Ok(Line::Event(event)) => {
--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -83,6 +83,8 @@
     report_fields: Rc<Vec<String>>,
     limits: Limits,
     answer_grace: Nanos,
+    /// The program ends: everything has to be answered by then.
+    answer_by: Nanos,
     permits: Rc<Permits>,
     module: Sender<ModuleMail>,
     executor: Rc<LocalExecutor<'static>>,
@@ -120,6 +122,7 @@
                 names: given.names,
                 limits: given.limits,
                 answer_grace: given.facts.answer_grace,
+                answer_by: Nanos::MAX,
                 permits,
                 module,
                 executor,
@@ -166,7 +169,7 @@
         let now = world.now;
         match mail {
             ModuleMail::Arrived { connection, fields, workload, customer, at, client } => {
-                let deadline = at + fields.timeout_ms * MS;
+                let deadline = (at + fields.timeout_ms * MS).min(world.answer_by);
                 let arrival = arrival(&fields, workload, customer, deadline.saturating_sub(now));
                 let stmt = world.stmts.open(connection, fields, deadline, client);
                 world.watch_statement(stmt);
@@ -192,7 +195,8 @@
             ModuleMail::Ended { key, end } => self.ended(key, end),
             ModuleMail::Listed { hosts } => self.listed(hosts, None),
             ModuleMail::Drain { by } => {
-                log::info!("all that was taken is answered by {}.{:03}", by / SECOND, by % SECOND / MS)
+                world.answer_by = by;
+                gateway.ending(by);
             }
         }
     }
@@ -213,8 +217,8 @@
         }
     }
 
-    /// An execution's time is over: it is given up, and over for the module once that is done, so that no other
-    /// goes out beside it; with the statement's own time at the latest, however silent the engine is.
+    /// An execution's time is over: it is given up, and over for the module with the statement's own time,
+    /// however silent the engine is. What is left in between is no time for another, nor may one go out beside it.
     fn time_out(&mut self, stmt: StmtIx, serial: u64, number: u32) {
         let world = &mut self.world;
         let Some(open) = world.stmts.get_same(stmt, serial) else { return };
@@ -234,18 +238,19 @@
     /// Ends an execution for the module, unless that has been done.
     fn ended(&mut self, key: ExecutionKey, end: End) {
         let Module { gateway, world } = self;
-        let Some(out) = world.out(key).and_then(Option::take) else { return };
+        let Some(out) = world.out(key) else { return };
+        let given_up = end.outcome == Outcome::Cancelled && out.as_ref().is_some_and(|out| out.timed_out);
+        let Some(out) = out.take_if(|_| !given_up) else { return };
         let due = Due::ExecutionTimesOut { stmt: key.stmt.0, serial: key.serial, number: key.number };
         world.timers.unset(out.times_out_at, due);
         if let Some(rows) = end.rows {
             world.answer(key.stmt, Answer::Completed(rows));
         }
         let closed = world.stmts.get(key.stmt).is_none_or(|open| open.client.is_none());
-        let late = out.timed_out && end.outcome == Outcome::Cancelled;
         let ended = Ended {
             execution: key.number,
             engine: key.engine,
-            outcome: if late { Outcome::TimedOut } else { end.outcome },
+            outcome: end.outcome,
             took: world.now.saturating_sub(out.sent_at),
             closed,
             true_cost: end.true_cost,
--- a/crates/ivypitch-gateway/src/life/program.rs
+++ b/crates/ivypitch-gateway/src/life/program.rs
@@ -22,7 +22,7 @@
 /// SIGKILL comes no sooner than so long after SIGTERM: the longest statement timeout, 3 s at most, and 0.7 s.
 const KILL_WAITS_AT_MOST: Nanos = 3_000_000_000;
 /// Left for the last answers to be written.
-const LAST_ANSWERS: Nanos = 300_000_000;
+const LAST_ANSWERS: Nanos = 150_000_000;
 
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Phase {
@@ -62,6 +62,7 @@
     pub fn start(configuration: Configuration, clock: Clock) -> Result<Program, String> {
         let Configuration { name, listen, seed, sockets, journal, known, mut given } = configuration;
         let listener = Async::<TcpListener>::bind(listen).map_err(|e| format!("listen on {listen}: {e}"))?;
+        let listen = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
         let executor = Rc::new(LocalExecutor::new());
         let (module, mailbox) = async_channel::unbounded();
         let workloads = given.facts.workloads.len();
@@ -91,7 +92,7 @@
             longest_timeout,
         };
         log::info!(
-            "{name} {}: {workloads} workloads, {clients} clients, {engines} engine connections at most",
+            "{name} {}: listens on {listen}, {workloads} workloads, {clients} clients, {engines} engine connections",
             program.phase
         );
         Ok(program)
--- a/crates/ivypitch-gateway/src/main.rs
+++ b/crates/ivypitch-gateway/src/main.rs
@@ -1,13 +1,8 @@
-//! The ivypitch query gateway on real sockets; every decision is the module's.
-
-mod actors;
-mod life;
-mod memory;
-mod wire;
+//! Starts the ivypitch query gateway by its environment.
 
 use std::process::ExitCode;
 
-use life::{clock::Clock, configuration, logger, program::Program};
+use ivypitch_gateway::life::{clock::Clock, configuration, logger, program::Program};
 
 fn main() -> ExitCode {
     let clock = Clock::start();
--- /dev/null
+++ b/crates/ivypitch-gateway/tests/serving.rs
@@ -0,0 +1,310 @@
+//! Starts the program and speaks to it over loopback sockets, as clients, engines and the journal service.
+
+mod stand_ins;
+
+use std::net::Shutdown;
+
+use stand_ins::*;
+use test_case::test_case;
+
+fn rows(values: &[[&str; 3]]) -> Answer {
+    Answer::Rows(values.iter().map(|row| row.map(str::to_owned).to_vec()).collect())
+}
+
+fn ready(engine: &Engine) -> Vec<String> {
+    vec![engine.row("s-00c41f7a", "in_service")]
+}
+
+const OK: Answer = Answer::Rows(Vec::new());
+
+#[test]
+fn a_statement_is_passed_on_unchanged_and_all_its_pages_come_back_whole() {
+    let engine = Engine::start(|call, _| match (call.method.as_str(), call.path.rsplit('/').next()) {
+        ("POST", _) => say(202, "Srv-Note: done\r\nFigure: 0.5\r\n", ""),
+        ("GET", Some("0")) => say(200, "Page-Count: 3\r\nWork-Ms: 4\r\nPeak-Mb: 8\r\n", "1\ta\t\n"),
+        ("GET", Some(page)) => {
+            say(200, &format!("Page-No: {page}\r\n"), &format!("{page}\tx y\tz\n2\t2\t2\n"))
+        }
+        _ => say(204, "", ""),
+    });
+    let gateway = Gateway::start(&ready(&engine));
+    let mut client = Client::connect(&gateway);
+    let answer = client.ask(&statement("lookup", 0x9b1f, 5000));
+    let expected = [["1", "a", ""], ["1", "x y", "z"], ["2", "2", "2"], ["2", "x y", "z"], ["2", "2", "2"]];
+    assert_eq!(answer, rows(&expected));
+    let start = engine.calls.wait("start", |c| c.is("POST"));
+    assert_eq!(start.path, "/c");
+    assert_eq!(start.body, "SELECT a FROM sales_17.orders");
+    assert_eq!(start.header("Via-Id"), Some("0000000000009b1f"));
+    assert_eq!(start.header("Via-Class"), Some("lookup"));
+    assert_eq!(start.header("Rank"), Some("3"));
+    let wait: u64 = start.header("Via-Wait").unwrap().parse().unwrap();
+    assert!((1..=5000).contains(&wait), "{wait}");
+    assert_eq!(client.ping(), OK);
+}
+
+#[test]
+fn login_and_query_may_come_ahead_of_the_greeting_and_in_any_pieces() {
+    let engine = Engine::served();
+    let gateway = Gateway::start(&ready(&engine));
+    let bytes = [login("app"), query(&statement("lookup", 1, 5000))].concat();
+    let mut whole = Client::bare(&gateway);
+    whole.send(&bytes);
+    assert_eq!(whole.greeted(), OK);
+    assert_eq!(whole.answer(1), rows(&[["a", "b", "c"]]));
+    let mut pieces = Client::bare(&gateway);
+    pieces.stream.set_nodelay(true).unwrap();
+    bytes.iter().for_each(|byte| pieces.send(&[*byte]));
+    assert_eq!(pieces.greeted(), OK);
+    assert_eq!(pieces.answer(1), rows(&[["a", "b", "c"]]));
+}
+
+#[test]
+fn a_result_of_48000_bytes_comes_whole() {
+    let page = |_: &str| format!("{}\t{}\t{}\n", "a".repeat(300), "b".repeat(3000), "c".repeat(2697));
+    let engine = Engine::start(move |call, _| match call.path.rsplit('/').next() {
+        Some(n) if call.is("GET") => say(200, &format!("Page-No: {n}\r\n"), &page(n)),
+        _ => say(200, "Page-Count: 8\r\n", &page("0")),
+    });
+    let gateway = Gateway::start(&ready(&engine));
+    let Answer::Rows(rows) = Client::connect(&gateway).ask(&statement("lookup", 1, 20000)) else {
+        panic!("no rows")
+    };
+    assert_eq!(rows.iter().flatten().map(|c| c.len() + 1).sum::<usize>(), 48_000);
+}
+
+/// What an engine says to the start, and the error that a load gets, which must never run twice.
+#[test_case(500, "", "", 1105; "an error may have run")]
+#[test_case(503, "Srv-Untouched: 1\r\n", "", 1203; "full never ran")]
+#[test_case(503, "", "", 1105; "full without its proof")]
+#[test_case(504, "Srv-Untouched: 1\r\n", "", 1203; "over before it ran")]
+#[test_case(200, "Page-Count: 1\r\n", "a\tb\tc", 1105; "a row cut short")]
+#[test_case(200, "Page-Count: 1\r\n", "a\tb\n", 1105; "a row without three columns")]
+#[test_case(200, "Page-Count: 2\r\n", "a\tb\tc\n", 1105; "a page that is missing")]
+#[test_case(200, "Page-Count: x\r\n", "a\tb\tc\n", 1105; "a page count that is no number")]
+#[test_case(200, "Content-Length: 1\r\n", "a\tb\tc\n", 1105; "two lengths")]
+#[test_case(200, "Transfer-Encoding: chunked\r\n", "a\tb\tc\n", 1105; "an encoding not understood")]
+fn each_end_of_a_load_is_told_as_what_it_proves(
+    status: u16,
+    headers: &'static str,
+    body: &'static str,
+    code: u16,
+) {
+    let engine = Engine::start(move |call, _| match call.method.as_str() {
+        "POST" => say(status, headers, body),
+        "DELETE" => say(204, "", ""),
+        _ => say(500, "", ""),
+    });
+    let gateway = Gateway::start(&ready(&engine));
+    let mut client = Client::connect(&gateway);
+    assert_eq!(client.ask(&statement("load", 1, 2500)).code(), code);
+    if code == 1105 {
+        assert_eq!(engine.starts(), 1, "it may have run, so it is not started again");
+    }
+    assert_eq!(client.ping(), OK);
+}
+
+#[test]
+fn a_load_whose_start_breaks_off_is_asked_for_and_not_started_again() {
+    let engine = Engine::start(|call, _| match call.method.as_str() {
+        "POST" => Reply::Close,
+        _ => good("a\tb\tc\n"),
+    });
+    let gateway = Gateway::start(&ready(&engine));
+    assert_eq!(Client::connect(&gateway).ask(&statement("load", 1, 5000)), rows(&[["a", "b", "c"]]));
+    assert_eq!(engine.starts(), 1);
+}
+
+#[test]
+fn a_refused_connection_is_a_refusal_with_a_time_to_stay_away() {
+    let nobody = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = nobody.local_addr().unwrap();
+    drop(nobody);
+    let engine = Engine { address, calls: Seen::new() };
+    let gateway = Gateway::start(&ready(&engine));
+    let answer = Client::connect(&gateway).ask(&statement("load", 1, 2000));
+    let Answer::Error(1203, text) = answer else { panic!("{answer:?}") };
+    assert!(text.contains("holdoff=2000"), "{text}");
+}
+
+#[test_case("lookup", 1203; "an idempotent statement is rejected")]
+#[test_case("load", 1105; "a load fails")]
+fn an_engine_that_never_ends_is_given_up_in_time_and_started_once(kind: &str, code: u16) {
+    let engine = Engine::busy();
+    let gateway = Gateway::start(&ready(&engine));
+    assert_eq!(Client::connect(&gateway).ask(&statement(kind, 1, 400)).code(), code);
+    engine.calls.wait("give-up", |c| c.is("DELETE") && c.path == "/c/0000000000000001");
+    assert_eq!(engine.starts(), 1);
+}
+
+#[test]
+fn a_statement_on_a_silent_engine_is_answered_in_time() {
+    let engine = Engine::start(|_, _| Reply::Silence);
+    let gateway = Gateway::start(&ready(&engine));
+    assert_eq!(Client::connect(&gateway).ask(&statement("load", 1, 400)).code(), 1105);
+}
+
+#[test]
+fn an_idempotent_statement_that_is_lost_runs_on_another_engine_after_the_first_gave_it_up() {
+    let (silent, served) = (Engine::start(|_, _| Reply::Silence), Engine::served());
+    let list = [silent.row("s-1", "in_service"), served.row("s-2", "in_service")];
+    let gateway = Gateway::start(&list);
+    for req in 1..=8 {
+        let answer = Client::connect(&gateway).ask(&statement("lookup", req, 20_000));
+        assert_eq!(answer, rows(&[["a", "b", "c"]]));
+    }
+    let given_up = silent.calls.all().iter().filter(|c| c.is("DELETE")).count();
+    assert!(given_up >= silent.starts(), "each that was started is given up");
+}
+
+#[test]
+fn kill_query_ends_the_statement_and_gives_it_up() {
+    let engine = Engine::busy();
+    let gateway = Gateway::start(&ready(&engine));
+    let (mut client, mut killer) = (Client::connect(&gateway), Client::connect(&gateway));
+    client.send(&query(&statement("load", 1, 20_000)));
+    engine.calls.wait("start", |c| c.is("POST"));
+    assert_eq!(killer.ask(&format!("KILL QUERY {}", client.connection)), OK);
+    assert_eq!(client.answer(1).code(), 1317);
+    engine.calls.wait("give-up", |c| c.is("DELETE"));
+    assert_eq!(client.ping(), OK);
+}
+
+#[test]
+fn a_give_up_during_the_start_takes_effect_when_the_start_is_answered() {
+    let killed = Seen::<()>::new();
+    let wait = killed.clone();
+    let engine = Engine::start(move |call, _| {
+        if call.is("POST") {
+            wait.wait("kill", |_| true);
+        }
+        say(if call.is("DELETE") { 204 } else { 202 }, "", "")
+    });
+    let gateway = Gateway::start(&ready(&engine));
+    let (mut client, mut killer) = (Client::connect(&gateway), Client::connect(&gateway));
+    client.send(&query(&statement("load", 1, 20_000)));
+    engine.calls.wait("start", |c| c.is("POST"));
+    assert_eq!(killer.ask(&format!("KILL QUERY {}", client.connection)), OK);
+    assert_eq!(client.answer(1).code(), 1317);
+    killed.push(());
+    engine.calls.wait("give-up", |c| c.is("DELETE"));
+}
+
+#[test_case(|c| drop(c.stream.shutdown(Shutdown::Write)); "its half is closed")]
+#[test_case(|c| c.send(&packet(0, &[1])); "it quits")]
+fn a_client_that_leaves_has_its_execution_given_up(leave: fn(&mut Client)) {
+    let engine = Engine::busy();
+    let gateway = Gateway::start(&ready(&engine));
+    let mut client = Client::connect(&gateway);
+    client.send(&query(&statement("lookup", 1, 20_000)));
+    engine.calls.wait("start", |c| c.is("POST"));
+    leave(&mut client);
+    engine.calls.wait("give-up", |c| c.is("DELETE"));
+}
+
+#[test]
+fn sigterm_serves_the_overlap_answers_all_and_exits_with_0() {
+    let engine = Engine::busy();
+    let mut gateway = Gateway::start(&ready(&engine));
+    let mut client = Client::connect(&gateway);
+    client.send(&query(&statement("lookup", 1, 20_000)));
+    engine.calls.wait("start", |c| c.is("POST"));
+    gateway.terminate();
+    gateway.log.wait("overlap", |l| l.contains("serving -> overlap"));
+    let mut late = Client::connect(&gateway);
+    assert_eq!(late.ask(&statement("load", 2, 20_000)).code(), 1105);
+    assert_eq!(client.answer(1).code(), 1203);
+    assert_eq!(gateway.exit_code(), Some(0));
+    gateway.log.wait("stop", |l| l.contains("finishing -> stopped: 2 sessions, 0 statements open"));
+}
+
+#[test]
+fn a_gateway_that_was_killed_starts_again_at_its_address() {
+    let engine = Engine::served();
+    let mut gateway = Gateway::start(&ready(&engine));
+    assert_eq!(Client::connect(&gateway).ask(&statement("lookup", 1, 5000)), rows(&[["a", "b", "c"]]));
+    gateway.kill();
+    let again = Gateway::with(&gateway.address.to_string(), &ready(&engine), None, 1024);
+    assert_eq!(Client::connect(&again).ask(&statement("lookup", 2, 5000)), rows(&[["a", "b", "c"]]));
+}
+
+#[test]
+fn the_list_is_followed_over_broken_lines_and_gaps_from_the_last_good_number() {
+    let (old, new) = (Engine::served(), Engine::served());
+    let changed = [old.row("s-1", "terminating"), new.row("s-2", "in_service")];
+    let journal = Journal::start(&[
+        format!("{}{{\"pos\":3,", event(2, false, &[new.row("s-2", "in_service")])) + "\nbroken\n!",
+        event(5, false, &[old.row("s-1", "terminated")]),
+        event(1, false, &[]),
+        event(3, false, &changed) + "3\n",
+    ]);
+    let gateway = Gateway::with("127.0.0.1:0", &[old.row("s-1", "in_service")], Some(&journal), 1024);
+    gateway.log.wait("loss", |l| l.contains("journal") && l.contains("lost at 2"));
+    gateway.log.wait("recovery", |l| l.contains("followed again from 3"));
+    assert_eq!(journal.tails.all()[..4], ["tail 1\n", "tail 2\n", "tail 2\n", "tail 2\n"]);
+    let before = old.starts();
+    for req in 1..=20 {
+        let answer = Client::connect(&gateway).ask(&statement("lookup", req, 5000));
+        assert_eq!(answer, rows(&[["a", "b", "c"]]));
+    }
+    assert_eq!(old.starts(), before, "a draining engine gets nothing new");
+}
+
+#[test_case("SELECT a FROM sales_17.orders"; "no comment")]
+#[test_case("/* kind=lookup,req=0000000000000001,timeout=100 SELECT a FROM sales_17.orders"; "no end of the comment")]
+#[test_case("/* kind=nope,req=0000000000000001,timeout=100 */ SELECT a FROM sales_17.orders"; "unknown workload")]
+#[test_case("/* kind=lookup,req=0000000000000001,timeout=100,owner=x */ SELECT a FROM sales_17.o"; "unknown customer")]
+#[test_case("/* kind=lookup,req=00000000000000zz,timeout=100 */ SELECT a FROM sales_17.orders"; "id not hex")]
+#[test_case("/* kind=lookup,req=1,timeout=100 */ SELECT a FROM sales_17.orders"; "id too short")]
+#[test_case("/* kind=lookup,req=0000000000000001,timeout=0 */ SELECT a FROM sales_17.orders"; "no time")]
+#[test_case("/* kind=lookup,req=0000000000000001,timeout=9e99 */ SELECT a FROM sales_17.orders"; "absurd time")]
+#[test_case("/* kind=lookup,req=0000000000000001 */ SELECT a FROM sales_17.orders"; "time missing")]
+#[test_case("/* kind=lookup,req=0000000000000001,timeout=100,ms=nan */ SELECT a FROM sales_17.o"; "estimate no number")]
+#[test_case("/* kind=lookup,req=0000000000000001,timeout=100 */ SELECT 'sales_17.orders' FROM x"; "group in a string")]
+#[test_case("/* kind=lookup,req=0000000000000001,timeout=100 */ SELECT a FROM staging.orders"; "staging alone")]
+#[test_case(""; "empty")]
+fn what_cannot_be_used_gets_an_error_goes_to_no_engine_and_leaves_the_session_usable(text: &str) {
+    let engine = Engine::served();
+    let gateway = Gateway::start(&ready(&engine));
+    let mut client = Client::connect(&gateway);
+    assert_eq!(client.ask(text).code(), 1064);
+    client.send(&packet(0, &[0x16, 1, 2, 3]));
+    assert_eq!(client.answer(1).code(), 1047, "an unknown command");
+    assert_eq!(client.ask(&statement("lookup", 2, 5000)), rows(&[["a", "b", "c"]]));
+    assert_eq!(engine.starts(), 1);
+}
+
+#[test_case(&[0xff, 0xff, 0xff, 0, 3, 3, 3]; "an oversized packet")]
+#[test_case(&[0, 0, 0, 0]; "an empty command")]
+fn what_is_broken_ends_that_session_alone(bytes: &[u8]) {
+    let engine = Engine::served();
+    let gateway = Gateway::start(&ready(&engine));
+    let (mut other, mut broken) = (Client::connect(&gateway), Client::connect(&gateway));
+    broken.send(bytes);
+    assert_eq!(broken.answer(1), Answer::Closed);
+    let mut denied = Client::bare(&gateway);
+    denied.send(&login("root"));
+    assert_eq!(denied.greeted().code(), 1045);
+    assert_eq!(other.ask(&statement("lookup", 1, 5000)), rows(&[["a", "b", "c"]]));
+}
+
+#[test]
+fn a_session_that_came_as_there_were_too_many_is_served_all_the_same() {
+    let engine = Engine::served();
+    // 16 clients and 3 more that may be told.
+    let gateway = Gateway::with("127.0.0.1:0", &ready(&engine), None, 48);
+    let mut clients: Vec<Client> = (0..19).map(|_| Client::connect(&gateway)).collect();
+    let last = clients.last_mut().unwrap();
+    assert_eq!(last.ask(&statement("lookup", 1, 5000)), rows(&[["a", "b", "c"]]));
+}
+
+#[test_case("{", "EOF"; "no JSON")]
+#[test_case(r#"{"listen":"nowhere","settings":{}}"#, "listen"; "no address")]
+#[test_case(r#"{"listen":"127.0.0.1:0","settings":{}}"#, "settings"; "no settings")]
+fn a_configuration_that_cannot_be_used_ends_the_program_with_one_line(config: &str, word: &str) {
+    let (mut child, log) = spawn(config);
+    assert_eq!(child.wait().unwrap().code(), Some(1));
+    let line = log.wait("line", |_| true);
+    assert!(line.contains("ERROR") && line.contains(word), "{line}");
+    assert_eq!(log.all().len(), 1);
+}
--- /dev/null
+++ b/crates/ivypitch-gateway/tests/stand_ins/mod.rs
@@ -0,0 +1,406 @@
+//! Stand-ins for everything that a gateway talks to, and the gateway itself as a process. They wait on
+//! conditions, never for a fixed time.
+#![allow(dead_code)]
+
+use std::collections::VecDeque;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// Far longer than anything takes on a busy machine; a test that waits so long has failed.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Things that happened, in order, for others to wait for.
+pub struct Seen<T>(Arc<(Mutex<Vec<T>>, Condvar)>);
+
+impl<T> Clone for Seen<T> {
+    fn clone(&self) -> Self {
+        Seen(self.0.clone())
+    }
+}
+
+impl<T: Clone> Seen<T> {
+    pub fn new() -> Self {
+        Seen(Arc::new((Mutex::new(Vec::new()), Condvar::new())))
+    }
+    pub fn push(&self, what: T) {
+        self.0.0.lock().unwrap().push(what);
+        self.0.1.notify_all();
+    }
+    pub fn all(&self) -> Vec<T> {
+        self.0.0.lock().unwrap().clone()
+    }
+    /// The first that fits, waited for.
+    pub fn wait(&self, what: &str, fits: impl Fn(&T) -> bool) -> T {
+        let until = Instant::now() + PATIENCE;
+        let mut seen = self.0.0.lock().unwrap();
+        loop {
+            if let Some(found) = seen.iter().find(|t| fits(t)) {
+                return found.clone();
+            }
+            let left = until.checked_duration_since(Instant::now()).unwrap_or_else(|| panic!("no {what}"));
+            seen = self.0.1.wait_timeout(seen, left).unwrap().0;
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Call {
+    pub method: String,
+    pub path: String,
+    pub head: String,
+    pub body: String,
+}
+
+impl Call {
+    pub fn is(&self, method: &str) -> bool {
+        self.method == method
+    }
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.head
+            .lines()
+            .find_map(|l| Some(l.split_once(": ").filter(|(n, _)| n.eq_ignore_ascii_case(name))?.1))
+    }
+}
+
+pub enum Reply {
+    Say(String),
+    /// Nothing, the connection stays open.
+    Silence,
+    /// The connection is closed with no answer.
+    Close,
+}
+
+/// An answer of an engine.
+pub fn say(status: u16, headers: &str, body: &str) -> Reply {
+    Reply::Say(format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len()))
+}
+
+/// A good end with one page.
+pub fn good(body: &str) -> Reply {
+    say(200, "Page-Count: 1\r\nWork-Ms: 12.5\r\nPeak-Mb: 64\r\nSrv-Load: waiting:0;active:1;x0:0.1\r\n", body)
+}
+
+pub struct Engine {
+    pub address: SocketAddr,
+    pub calls: Seen<Call>,
+}
+
+impl Engine {
+    /// Answers each call as `reply` says; it is also told how many calls came before.
+    pub fn start(reply: impl Fn(&Call, usize) -> Reply + Send + Sync + 'static) -> Engine {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let engine = Engine { address: listener.local_addr().unwrap(), calls: Seen::new() };
+        let (calls, reply, count) = (engine.calls.clone(), Arc::new(reply), Arc::new(AtomicUsize::new(0)));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (calls, reply, count) = (calls.clone(), reply.clone(), count.clone());
+                thread::spawn(move || {
+                    let mut writer = stream.try_clone().unwrap();
+                    let mut reader = BufReader::new(stream);
+                    while let Some(call) = read_call(&mut reader) {
+                        let number = count.fetch_add(1, Ordering::SeqCst);
+                        calls.push(call.clone());
+                        match reply(&call, number) {
+                            Reply::Say(text) => writer.write_all(text.as_bytes()).unwrap_or_default(),
+                            Reply::Silence => {}
+                            Reply::Close => break,
+                        }
+                    }
+                    let _ = writer.shutdown(Shutdown::Both);
+                });
+            }
+        });
+        engine
+    }
+
+    pub fn served() -> Engine {
+        Engine::start(|call, _| if call.is("DELETE") { say(204, "", "") } else { good("a\tb\tc\n") })
+    }
+
+    /// Takes the statement and never ends it.
+    pub fn busy() -> Engine {
+        Engine::start(|call, _| say(if call.is("DELETE") { 204 } else { 202 }, "", ""))
+    }
+
+    pub fn row(&self, id: &str, state: &str) -> String {
+        let address = self.address;
+        format!(
+            r#"{{"id":"{id}","addr":"{address}","zone":"z","kind":"std","cell":0,"state":"{state}","weight":1,"started_ms":0}}"#
+        )
+    }
+
+    pub fn starts(&self) -> usize {
+        self.calls.all().iter().filter(|c| c.is("POST")).count()
+    }
+}
+
+fn read_call(reader: &mut BufReader<TcpStream>) -> Option<Call> {
+    let (mut first, mut head) = (String::new(), String::new());
+    reader.read_line(&mut first).ok().filter(|&n| n > 0)?;
+    while !head.ends_with("\r\n\r\n") && head != "\r\n" {
+        reader.read_line(&mut head).ok().filter(|&n| n > 0)?;
+    }
+    let mut words = first.split(' ');
+    let (method, path) = (words.next()?.into(), words.next()?.into());
+    let mut call = Call { method, path, head, body: String::new() };
+    let mut body = vec![0; call.header("Content-Length").map_or(0, |n| n.parse().unwrap())];
+    reader.read_exact(&mut body).ok()?;
+    call.body = String::from_utf8(body).unwrap();
+    Some(call)
+}
+
+/// The journal service: each connection's first line is kept, and gets the next of the scripts; then a line
+/// with the last number each tenth of a second, until it is told to close.
+pub struct Journal {
+    pub address: SocketAddr,
+    pub tails: Seen<String>,
+    scripts: Arc<Mutex<VecDeque<String>>>,
+}
+
+impl Journal {
+    /// `scripts`: what one connection after the other is told; a script that ends in `!` closes it.
+    pub fn start(scripts: &[String]) -> Journal {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let journal = Journal {
+            address,
+            tails: Seen::new(),
+            scripts: Arc::new(Mutex::new(scripts.iter().cloned().collect())),
+        };
+        let (tails, scripts) = (journal.tails.clone(), journal.scripts.clone());
+        thread::spawn(move || {
+            for mut stream in listener.incoming().flatten() {
+                let mut line = String::new();
+                let _ = BufReader::new(stream.try_clone().unwrap()).read_line(&mut line);
+                tails.push(line);
+                let script = scripts.lock().unwrap().pop_front().unwrap_or_default();
+                let _ = stream.write_all(script.trim_end_matches('!').as_bytes());
+                if !script.ends_with('!') {
+                    // Held open and silent from here on.
+                    thread::spawn(move || stream.read(&mut [0]));
+                }
+            }
+        });
+        journal
+    }
+}
+
+pub fn event(pos: u64, full: bool, rows: &[String]) -> String {
+    format!(
+        "{{\"pos\":{pos},\"hosts\":{{\"version\":{pos},\"full\":{full},\"servers\":[{}]}}}}\n",
+        rows.join(",")
+    )
+}
+
+pub const SETTINGS: &str = r#"{"balancers":1,"tick-ns":1000000,"zones":["z"],"host-types":["std"],
+ "categories":[
+  {"name":"lookup","goal-time-ns":300000000,"give-up-ns":20000000000,"effect":"safe","key-scope":"all","worth":1},
+  {"name":"load","goal-time-ns":600000000,"give-up-ns":20000000000,"effect":"unsafe","key-scope":"all","worth":8}],
+ "customers":[{"name":"acme","allowance-per-s":100000}],
+ "contract":{"cold-from":0.3,"drain-grace-ns":250000000,"grace-to-answer-ns":5000000,"warm-up-ns":14000000000},
+ "extra":{"cores-by-kind":[64],"dop":[1,2],"loads":[false,true],"tells-cost":true,"ranks-heeded":true,
+  "progress-pace-ns":500000000},
+ "load-info":{"fields":["waiting","active","x0"],"how":"piggyback"},
+ "permissions":{"connect-timeout-ns":250000000,"idle-close-ns":30000000000,"max-attempts":4,"may-cancel":true,
+  "most-held":20000,"retry-after":true,"max-retry-after-ns":2000000000}}"#;
+
+pub struct Gateway {
+    child: Child,
+    pub address: SocketAddr,
+    pub log: Seen<String>,
+}
+
+impl Gateway {
+    /// Starts the program with the list `rows` known to it, and waits until it serves.
+    pub fn start(rows: &[String]) -> Gateway {
+        Gateway::with("127.0.0.1:0", rows, None, 1024)
+    }
+
+    pub fn with(listen: &str, rows: &[String], journal: Option<&Journal>, sockets: usize) -> Gateway {
+        let journal = journal.map_or(String::new(), |j| j.address.to_string());
+        let entry = event(1, true, rows);
+        let config = format!(
+            r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},
+             "journal":"{journal}","known":{{"pos":1,"entries":[{entry}]}},"settings":{SETTINGS}}}"#
+        );
+        let (mut child, log) = spawn(&config);
+        let line = log.wait("line of the start", |l| l.contains("listens on") || l.contains("ERROR"));
+        let address = line.split("listens on ").nth(1).and_then(|l| l.split(',').next()?.parse().ok());
+        let address = address.unwrap_or_else(|| {
+            let _ = child.kill();
+            panic!("not started: {line}")
+        });
+        Gateway { child, address, log }
+    }
+
+    pub fn terminate(&self) {
+        let pid = self.child.id().to_string();
+        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+    }
+
+    pub fn kill(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+
+    pub fn exit_code(&mut self) -> Option<i32> {
+        self.child.wait().unwrap().code()
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+/// The program with this configuration, and its log.
+pub fn spawn(config: &str) -> (Child, Seen<String>) {
+    static NUMBER: AtomicUsize = AtomicUsize::new(0);
+    let name = format!("gateway-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
+    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, config).unwrap();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_ivypitch-gateway"))
+        .env("PROXY_CONFIG", &path)
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let log = Seen::new();
+    let (lines, seen) = (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone());
+    thread::spawn(move || {
+        lines.map_while(Result::ok).for_each(|line| seen.push(line));
+        let _ = std::fs::remove_file(path);
+    });
+    (child, log)
+}
+
+#[derive(Debug, PartialEq)]
+pub enum Answer {
+    Rows(Vec<Vec<String>>),
+    Error(u16, String),
+    Closed,
+}
+
+impl Answer {
+    pub fn code(&self) -> u16 {
+        if let Answer::Error(code, _) = self { *code } else { 0 }
+    }
+}
+
+pub fn packet(sequence: u8, payload: &[u8]) -> Vec<u8> {
+    let length = (payload.len() as u32).to_le_bytes();
+    [&[length[0], length[1], length[2], sequence], payload].concat()
+}
+
+pub fn login(user: &str) -> Vec<u8> {
+    let flags: u32 = 1 << 3 | 1 << 9 | 1 << 15 | 1 << 19;
+    let mut payload =
+        [&flags.to_le_bytes()[..], &[0, 0, 0, 1, 45], &[0; 23], user.as_bytes(), &[0, 0]].concat();
+    payload.extend(b"dw\0mysql_native_password\0");
+    packet(1, &payload)
+}
+
+pub fn query(text: &str) -> Vec<u8> {
+    packet(0, &[&[3], text.as_bytes()].concat())
+}
+
+/// A statement with its fields.
+pub fn statement(kind: &str, req: u64, timeout_ms: u64) -> String {
+    format!(
+        "/* kind={kind},req={req:016x},timeout={timeout_ms},owner=acme,ms=20.0,space=32 */ SELECT a FROM sales_17.orders"
+    )
+}
+
+pub struct Client {
+    pub stream: TcpStream,
+    pub connection: u32,
+}
+
+impl Client {
+    pub fn connect(gateway: &Gateway) -> Client {
+        let mut client = Client::bare(gateway);
+        client.send(&login("app"));
+        client.greeted();
+        client
+    }
+
+    /// Connected, nothing written or read.
+    pub fn bare(gateway: &Gateway) -> Client {
+        let stream = TcpStream::connect(gateway.address).unwrap();
+        stream.set_read_timeout(Some(PATIENCE)).unwrap();
+        Client { stream, connection: 0 }
+    }
+
+    /// Reads the greeting and the answer to the login.
+    pub fn greeted(&mut self) -> Answer {
+        let greeting = self.packet().expect("a greeting").1;
+        let version = greeting.iter().position(|&b| b == 0).unwrap();
+        self.connection = u32::from_le_bytes(greeting[version + 1..version + 5].try_into().unwrap());
+        self.answer(2)
+    }
+
+    pub fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    pub fn ask(&mut self, text: &str) -> Answer {
+        self.send(&query(text));
+        self.answer(1)
+    }
+
+    pub fn ping(&mut self) -> Answer {
+        self.send(&packet(0, &[0x0e]));
+        self.answer(1)
+    }
+
+    fn packet(&mut self) -> Option<(u8, Vec<u8>)> {
+        let mut head = [0; 4];
+        self.stream.read_exact(&mut head).ok()?;
+        let mut payload = vec![0; u32::from_le_bytes([head[0], head[1], head[2], 0]) as usize];
+        self.stream.read_exact(&mut payload).ok()?;
+        Some((head[3], payload))
+    }
+
+    /// The answer to one command; its packets are numbered from `sequence`. OK reads as no rows.
+    pub fn answer(&mut self, mut sequence: u8) -> Answer {
+        let (mut rows, mut ends) = (Vec::new(), 0);
+        loop {
+            let Some((number, payload)) = self.packet() else { return Answer::Closed };
+            assert_eq!(number, sequence, "sequence number");
+            sequence = sequence.wrapping_add(1);
+            match payload[0] {
+                0xff => {
+                    let text = String::from_utf8_lossy(&payload[9..]).into_owned();
+                    return Answer::Error(u16::from_le_bytes([payload[1], payload[2]]), text);
+                }
+                0 if rows.is_empty() && ends == 0 => return Answer::Rows(rows),
+                0xfe if payload.len() < 9 => {
+                    ends += 1;
+                    if ends == 2 {
+                        return Answer::Rows(rows);
+                    }
+                }
+                _ if ends == 1 => rows.push(columns(&payload)),
+                _ => {}
+            }
+        }
+    }
+}
+
+fn columns(mut row: &[u8]) -> Vec<String> {
+    let mut columns = Vec::new();
+    while let Some((&first, rest)) = row.split_first() {
+        let (length, rest) = match first {
+            0xfc => (usize::from(u16::from_le_bytes([rest[0], rest[1]])), &rest[2..]),
+            short => (usize::from(short), rest),
+        };
+        columns.push(String::from_utf8(rest[..length].to_vec()).unwrap());
+        row = &rest[length..];
+    }
+    columns
+}
--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -50,16 +50,15 @@
 const TRIAL_GAP: Nanos = SECOND;
 /// At most one of so many own sends is a trial.
 const SENDS_PER_TRIAL: u32 = 16;
-/// No more than this part of the engines open to a statement is left out as suspected.
+/// No more than this part of the engines open to it are left out as suspected.
 const MOST_SUSPECTED: f64 = 0.5;
 /// An execution is lost with no word for so many times its usual time, or 1.5 paces of notes; at least this.
 const LOST: f64 = 3.0;
 const LEAST_PATIENCE: Nanos = SECOND * 6 / 10;
 /// A plan is bad when its projected time is this many times what its work should take.
 const BAD_PLAN: f64 = 2.5;
-/// Part of a cold engine's cores that the work budget counts: so many are busy at the operators' capacity.
+/// Part of a cold engine's cores that its budget counts, and of an even pace at which it grows.
 const COLD_SAFETY: f64 = 0.85;
-/// A cold engine is taken to grow at this part of an even pace.
 const COLD_GROWTH: f64 = 0.7;
 /// A customer may run ahead of its allowance by this many seconds of it.
 const ALLOWANCE_BURST_S: f64 = 1.5;
@@ -130,7 +129,7 @@
     stage: Stage,
     executions: u32,
     out: Option<Execution>,
-    /// Engine and time of the first execution that may have run.
+    /// Of the first execution that may have run.
     may_have_run: Option<(EngineIx, Nanos)>,
     wait_until: Nanos,
     asks: usize,
@@ -551,6 +550,11 @@
         self.dispatch(now, out);
     }
 
+    /// The gateway ends: what is open has to be answered by then.
+    pub fn ending(&mut self, by: Nanos) {
+        self.stmts.iter_mut().flatten().for_each(|stmt| stmt.deadline = stmt.deadline.min(by));
+    }
+
     pub fn woken(&mut self, now: Nanos, mark: u64, out: &mut dyn Output) {
         if mark == MARK_ASK {
             return out.watch_list();
@@ -616,8 +620,6 @@
         (self.in_hand, out, self.engines.iter().flat_map(|e| e.threads).sum())
     }
 
-    // ---- placing ----
-
     /// Sends what waits, most importance per work first; what has waited its part is sent or rejected.
     fn dispatch(&mut self, now: Nanos, out: &mut dyn Output) {
         // Once for each time of the clock where many wait: the cost must not grow with their square.
