--- a/crates/ivypitch-gateway/src/actors/list.rs
+++ b/crates/ivypitch-gateway/src/actors/list.rs
@@ -52,16 +52,24 @@
         return e.to_string();
     }
     let mut input = BytesMut::new();
+    // The highest number on this connection: none comes after a higher one.
+    let mut seen = 0;
     loop {
         while let Some(end) = input.iter().position(|&b| b == b'\n') {
             let line = input.split_to(end + 1);
             match journal::read_line(&line) {
-                Ok(Line::Last(number)) if number != *last => return format!("last is {number}, not {last}"),
-                Ok(Line::Last(_)) => {}
-                Ok(Line::Event(event)) if event.pos != *last + 1 => {
+                Ok(Line::Last(number)) if number > *last => return format!("events up to {number} missing"),
+                Ok(Line::Event(event)) if event.pos > *last + 1 || event.pos < seen => {
                     return format!("event {} after {last}", event.pos);
                 }
+                Ok(Line::Last(number)) => seen = seen.max(number),
+                // The service begins with the event that is held already.
+                Ok(Line::Event(event)) if event.pos <= *last => {
+                    seen = event.pos;
+                    continue;
+                }
                 Ok(Line::Event(event)) => {
+                    seen = event.pos;
                     *last = event.pos;
                     if let Some(hosts) = event.hosts {
                         let _ = module.try_send(ModuleMail::Listed { hosts });
