--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -74,7 +74,7 @@
 const LEAST_LEFT: f64 = 0.3;
 const MANY_WAITING: usize = 8;
 /// This part of the places for statements is for all, the last for those that earn so many times the usual.
-const PLACES_FREE: f64 = 0.85;
+const PLACES_FREE: f64 = 0.95;
 const EARNS_FULL: f64 = 1.4;
 const HOUSEKEEPING: Nanos = SECOND / 100;
 /// A long statement asks its engine first, where no report is fresh: so long, and no more than so many.
