--- a/crates/ivypitch-gateway/src/actors/engine.rs
+++ b/crates/ivypitch-gateway/src/actors/engine.rs
@@ -1,6 +1,7 @@
-//! One engine: its address, its connections, the calls to it. Executions run as tasks of their own on these.
+//! One engine: its address and the calls to it. Executions run as tasks of their own on these. A connection serves
+//! one execution and then goes: what an engine sends late on it can't be taken for another statement's answer.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
@@ -13,14 +14,17 @@
 use futures_lite::{AsyncWriteExt, FutureExt};
 
 use super::session::read_some;
-use crate::memory::pool::{Permit, Permits, Pool};
+use crate::memory::permits::{Permit, Permits};
 use crate::wire::http::{self, Answer};
 
+/// An engine holds its answer back for 250 ms at most; one that takes twice as long will not come.
+const ANSWER: Duration = Duration::from_millis(500);
+/// So many 1xx answers in front of one are passed over.
+const MOST_INFORMATION: usize = 8;
+
 pub enum EngineMail {
     Start(super::execution::Execution),
     Address(SocketAddr),
-    /// The list says that it is gone: no connection to it is kept.
-    Gone,
 }
 
 pub struct Connection {
@@ -36,7 +40,7 @@
     Refused,
     /// No connection in time, or the call did not go out whole.
     Unsent,
-    /// The connection broke, fell silent or brought nonsense after the call had gone out.
+    /// The call had gone out: the connection broke, fell silent or brought what can't be its whole answer.
     NoAnswer,
 }
 
@@ -44,41 +48,18 @@
 pub struct Link {
     address: Cell<SocketAddr>,
     connect_timeout: Duration,
-    pool: RefCell<Pool<Connection>>,
     permits: Rc<Permits>,
 }
 
 impl Link {
-    pub fn new(
-        address: SocketAddr,
-        connect_timeout: Duration,
-        idle: Duration,
-        permits: Rc<Permits>,
-    ) -> Rc<Link> {
-        Rc::new(Link {
-            address: Cell::new(address),
-            connect_timeout,
-            pool: RefCell::new(Pool::new(idle)),
-            permits,
-        })
+    pub fn new(address: SocketAddr, connect_timeout: Duration, permits: Rc<Permits>) -> Rc<Link> {
+        Rc::new(Link { address: Cell::new(address), connect_timeout, permits })
     }
 
     pub fn host(&self) -> String {
         self.address.get().to_string()
     }
 
-    /// A kept connection that is still open, or a new one.
-    pub async fn connection(&self) -> Result<Connection, CallFault> {
-        loop {
-            let kept = self.pool.borrow_mut().take();
-            match kept {
-                Some(connection) if connection.is_quiet() => return Ok(connection),
-                Some(_) => {}
-                None => return self.connect().await,
-            }
-        }
-    }
-
     pub async fn connect(&self) -> Result<Connection, CallFault> {
         let permit = self.permits.take().await;
         let connected = async { Async::<TcpStream>::connect(self.address.get()).await };
@@ -96,39 +77,67 @@
         }
     }
 
-    /// One call on a connection, which is kept for the next if it may be.
-    pub async fn call(&self, mut connection: Connection, request: &[u8]) -> Result<Answer, CallFault> {
+    /// One call on the execution's connection, or on a new one where that can't be used any more. It is kept in
+    /// `line` only while nothing but whole answers has come on it.
+    pub async fn call(&self, line: &mut Option<Connection>, request: &[u8]) -> Result<Answer, CallFault> {
+        let mut connection = match line.take().filter(|kept| kept.rest() == Rest::Quiet) {
+            Some(kept) => kept,
+            None => self.connect().await?,
+        };
         connection.write(request).await?;
         let answer = connection.answer().await?;
-        self.keep(connection, &answer);
+        match connection.rest() {
+            Rest::Quiet if !answer.closes => *line = Some(connection),
+            // What follows may be the rest of a result whose length is wrong.
+            Rest::More if answer.status == 200 => return Err(CallFault::NoAnswer),
+            _ => {}
+        }
         Ok(answer)
     }
+}
 
-    /// Keeps a connection for the next call if its last answer allows it.
-    pub fn keep(&self, connection: Connection, last: &Answer) {
-        if !last.closes && connection.input.is_empty() {
-            self.pool.borrow_mut().put(connection);
-        }
-    }
+/// What is on a connection behind the last answer.
+#[derive(PartialEq)]
+enum Rest {
+    Quiet,
+    More,
+    Closed,
 }
 
 impl Connection {
-    /// Nothing has come on it and it has not been closed.
-    fn is_quiet(&self) -> bool {
-        let peeked = self.stream.get_ref().peek(&mut [0]);
-        self.input.is_empty() && matches!(peeked, Err(e) if e.kind() == ErrorKind::WouldBlock)
+    fn rest(&self) -> Rest {
+        match self.stream.get_ref().peek(&mut [0]) {
+            _ if !self.input.is_empty() => Rest::More,
+            Err(e) if e.kind() == ErrorKind::WouldBlock => Rest::Quiet,
+            Ok(1..) => Rest::More,
+            _ => Rest::Closed,
+        }
     }
 
     pub async fn write(&mut self, request: &[u8]) -> Result<(), CallFault> {
         (&self.stream).write_all(request).await.map_err(|_| CallFault::Unsent)
     }
 
+    /// The whole answer, in time.
     pub async fn answer(&mut self) -> Result<Answer, CallFault> {
+        let late = async {
+            Timer::after(ANSWER).await;
+            Err(CallFault::NoAnswer)
+        };
+        self.next_answer().or(late).await
+    }
+
+    async fn next_answer(&mut self) -> Result<Answer, CallFault> {
+        let mut information = 0;
         loop {
             match http::next_answer(&mut self.input) {
-                Ok(Some(answer)) => return Ok(answer),
+                Ok(Some(answer)) if answer.status >= 200 => return Ok(answer),
+                Ok(Some(_)) if information < MOST_INFORMATION => {
+                    information += 1;
+                    continue;
+                }
                 Ok(None) => {}
-                Err(_) => return Err(CallFault::NoAnswer),
+                Ok(Some(_)) | Err(_) => return Err(CallFault::NoAnswer),
             }
             match read_some(&self.stream, &mut self.input).await {
                 Ok(0) | Err(_) => return Err(CallFault::NoAnswer),
@@ -138,24 +147,12 @@
     }
 }
 
+/// Ends as the list says that the engine is gone; executions that are out keep its link until their end.
 pub async fn run(link: Rc<Link>, mailbox: Receiver<EngineMail>, executor: Rc<LocalExecutor<'static>>) {
-    loop {
-        let old = async {
-            if link.pool.borrow().is_empty() {
-                std::future::pending::<()>().await;
-            }
-            Timer::after(Duration::from_secs(1)).await;
-            Ok(None)
-        };
-        match async { mailbox.recv().await.map(Some) }.or(old).await {
-            Ok(Some(EngineMail::Start(execution))) => executor.spawn(execution.run(link.clone())).detach(),
-            Ok(Some(EngineMail::Address(address))) => {
-                link.address.set(address);
-                link.pool.borrow_mut().clear();
-            }
-            Ok(Some(EngineMail::Gone)) => link.pool.borrow_mut().clear(),
-            Ok(None) => link.pool.borrow_mut().drop_old(),
-            Err(_) => return,
+    while let Ok(mail) = mailbox.recv().await {
+        match mail {
+            EngineMail::Start(execution) => executor.spawn(execution.run(link.clone())).detach(),
+            EngineMail::Address(address) => link.address.set(address),
         }
     }
 }
--- a/crates/ivypitch-gateway/src/actors/execution.rs
+++ b/crates/ivypitch-gateway/src/actors/execution.rs
@@ -9,18 +9,17 @@
 use futures_lite::FutureExt;
 use ivypitch::interface::{Note, Outcome};
 
-use super::engine::{CallFault, Link};
+use super::engine::{CallFault, Connection, Link};
 use super::{End, ExecutionKey, ExecutionMail, ModuleMail};
 use crate::memory::rows::Rows;
 use crate::wire::http::{self, Answer, Start};
 
-/// An engine drops a query that has not been asked for in 2 s.
-const DROPPED_UNASKED: Duration = Duration::from_secs(2);
-/// An ask is answered after 250 ms at the latest; one without an answer is repeated well within the 2 s.
-const ASK_AGAIN: Duration = Duration::from_secs(1);
-/// The bench's times run 50 ms wide: so long an answer to a give-up may take before another way is tried.
-const GIVE_UP_ANSWER: Duration = Duration::from_millis(100);
+/// An engine drops a query that has not been asked for in 2 s; the bench's times run 50 ms wide.
+const DROPPED_UNASKED: Duration = Duration::from_millis(2050);
+/// Before what brought no answer twice is asked again.
 const BREATHER: Duration = Duration::from_millis(50);
+/// A start that is given up is awaited for so long: a give-up on another connection might overtake it.
+const START_ANSWER: Duration = Duration::from_millis(500);
 
 pub struct Execution {
     pub key: ExecutionKey,
@@ -45,42 +44,50 @@
         let _ = self.module.try_send(ModuleMail::Ended { key: self.key, end });
     }
 
-    async fn to_its_end(&self, link: &Rc<Link>) -> End {
-        let mut answer = match self.start(link).await {
+    async fn to_its_end(&self, link: &Link) -> End {
+        let mut line = None;
+        let mut answer = match self.start(link, &mut line).await {
             Ok(answer) => answer,
             Err(end) => return end,
         };
+        let mut faults = 0;
         loop {
-            if answer.status != 202 {
-                return self.ended(link, answer).await;
+            match &answer {
+                Some(news) if news.status == 202 => self.tell_note(news),
+                Some(end) if matches!(end.status, 500 | 503 | 504) => return self.ended(end, None),
+                Some(end) => {
+                    if let Some(rows) = first_page(end) {
+                        return match self.pages(link, &mut line, rows, end.page_count.unwrap_or(1)).await {
+                            Ok(rows) => self.ended(end, Some(rows)),
+                            Err(end) => end,
+                        };
+                    }
+                    // No answer to a start or to this question: asked for again, as one that did not come whole.
+                    line = None;
+                }
+                None => {}
+            }
+            faults = if answer.as_ref().is_some_and(|a| a.status == 202) { 0 } else { faults + 1 };
+            if faults > 1 {
+                Timer::after(BREATHER).await;
             }
-            self.tell_note(&answer);
             if let Some(priority) = self.priority.take() {
                 let call = http::write_priority(&self.start.id, priority, &link.host());
-                let _ = within(ASK_AGAIN, self.fresh_call(link, &call)).await;
+                let _ = link.call(&mut None, &call).await;
             }
-            let asked_at = Instant::now();
-            answer = match self.ask(link).await {
-                Step::Answered(answer) => answer,
+            answer = match self.ask(link, &mut line, 0).await {
+                Step::Answered(answer) => Some(answer),
                 Step::Fault(CallFault::Refused) => return bare(Outcome::Reset),
-                Step::Fault(_) => {
-                    Timer::after(BREATHER).await;
-                    Answer { status: 202, ..Answer::default() }
-                }
-                Step::Mail(ExecutionMail::GiveUp) => return self.give_up(link, asked_at).await,
+                Step::Fault(_) => None,
+                Step::Mail(ExecutionMail::GiveUp) => return self.give_up(link).await,
                 Step::Mail(ExecutionMail::Priority(priority)) => {
                     self.priority.set(Some(priority));
-                    Answer { status: 202, ..Answer::default() }
+                    Some(Answer { status: 202, ..Answer::default() })
                 }
             };
         }
     }
 
-    async fn fresh_call(&self, link: &Link, call: &[u8]) -> Result<Answer, CallFault> {
-        let connection = link.connection().await?;
-        link.call(connection, call).await
-    }
-
     async fn mail(&self) -> ExecutionMail {
         self.mailbox.recv().await.unwrap_or(ExecutionMail::GiveUp)
     }
@@ -92,45 +99,38 @@
         }
     }
 
-    /// The start, up to its answer. Given up meanwhile, its answer is still awaited for a while: a give-up on
-    /// another connection might overtake the start.
-    async fn start(&self, link: &Rc<Link>) -> Result<Answer, End> {
-        let connect = async { link.connection().await.map_err(|_| bare(Outcome::ConnectFailed)) };
+    /// The start, up to its answer; `None` where none came whole: it may run all the same and is asked for.
+    /// Given up meanwhile, its answer is still awaited for a while.
+    async fn start(&self, link: &Link, line: &mut Option<Connection>) -> Result<Option<Answer>, End> {
+        let connect = async { link.connect().await.map_err(|_| bare(Outcome::ConnectFailed)) };
         let given_up = async {
             self.given_up().await;
             Err(bare(Outcome::Cancelled))
         };
-        let mut connection = connect.or(given_up).await?;
+        *line = Some(connect.or(given_up).await?);
         let call = http::write_start(&self.start, &link.host());
-        if connection.write(&call).await.is_err() {
-            // It has not gone out whole.
-            return Err(bare(Outcome::ConnectFailed));
-        }
-        let sent_at = Instant::now();
         let wanted = Cell::new(true);
-        let answered = async { Some(connection.answer().await) };
+        let answered = async { Some(link.call(line, &call).await) };
         let given_up = async {
             self.given_up().await;
             wanted.set(false);
-            Timer::after(ASK_AGAIN / 2).await;
+            Timer::after(START_ANSWER).await;
             None
         };
-        // One that broke off may run all the same: it is asked for on another connection.
-        let mut start = Answer { status: 202, ..Answer::default() };
-        if let Some(Ok(answer)) = answered.or(given_up).await {
-            link.keep(connection, &answer);
-            start = answer;
-        }
-        if start.status == 202 && !wanted.get() {
-            return Err(self.give_up(link, sent_at).await);
+        match answered.or(given_up).await {
+            // It has not gone out whole.
+            Some(Err(CallFault::Unsent | CallFault::Refused)) => Err(bare(Outcome::ConnectFailed)),
+            Some(Ok(answer)) if answer.status != 202 || wanted.get() => Ok(Some(answer)),
+            _ if wanted.get() => Ok(None),
+            _ => Err(self.give_up(link).await),
         }
-        Ok(start)
     }
 
-    async fn ask(&self, link: &Rc<Link>) -> Step {
-        let call = http::write_get(&self.start.id, 0, &link.host());
+    /// Asks for the news (0) or for a page.
+    async fn ask(&self, link: &Link, line: &mut Option<Connection>, page: usize) -> Step {
+        let call = http::write_get(&self.start.id, page, &link.host());
         let asked = async {
-            match within(ASK_AGAIN, self.fresh_call(link, &call)).await {
+            match link.call(line, &call).await {
                 Ok(answer) => Step::Answered(answer),
                 Err(fault) => Step::Fault(fault),
             }
@@ -150,82 +150,82 @@
         let _ = self.module.try_send(ModuleMail::Noted { key: self.key, note });
     }
 
-    /// The answer that ends it, in the module's terms; after a good end with all its pages.
-    async fn ended(&self, link: &Rc<Link>, answer: Answer) -> End {
-        let report = http::load_report(&answer.load, &self.report_fields);
+    /// What the answer that ends it proves, in the module's terms; after a good end with all its rows.
+    fn ended(&self, answer: &Answer, rows: Option<Rows>) -> End {
         let outcome = match (answer.status, answer.never_ran) {
             (200, _) => Outcome::Completed,
             (503, true) => Outcome::Full,
             (504, true) => Outcome::Moot,
             _ => Outcome::Error,
         };
-        if outcome != Outcome::Completed {
-            return End { outcome, true_cost: None, report, rows: None };
-        }
-        let true_cost = answer.work_ms.map(|work| (work, answer.peak_mb.unwrap_or(0.0)));
-        match self.pages(link, answer).await {
-            Ok(rows) => End { outcome, true_cost, report, rows: Some(rows) },
-            Err(outcome) => End { outcome, true_cost: None, report, rows: None },
+        let cost = answer.work_ms.map(|work| (work, answer.peak_mb.unwrap_or(0.0)));
+        End {
+            outcome,
+            true_cost: cost.filter(|_| rows.is_some()),
+            report: http::load_report(&answer.load, &self.report_fields),
+            rows,
         }
     }
 
-    async fn pages(&self, link: &Rc<Link>, first: Answer) -> Result<Rows, Outcome> {
-        let mut rows = Rows::default();
-        let count = first.page_count.unwrap_or(1);
-        rows.add(first.body).map_err(|_| Outcome::Error)?;
+    /// The pages after the first. One that did not come whole, or is no page of such a result, is asked for again.
+    async fn pages(
+        &self,
+        link: &Link,
+        line: &mut Option<Connection>,
+        mut rows: Rows,
+        count: usize,
+    ) -> Result<Rows, End> {
+        let mut faults = 0;
         while rows.pages() < count {
             let number = rows.pages();
-            let call = http::write_get(&self.start.id, number, &link.host());
-            let asked = async { Ok(within(ASK_AGAIN, self.fresh_call(link, &call)).await) };
-            let given_up = async {
-                self.given_up().await;
-                Err(Outcome::Cancelled)
-            };
-            match asked.or(given_up).await? {
-                Ok(answer) if answer.status == 200 && answer.page == Some(number) => {
-                    rows.add(answer.body).map_err(|_| Outcome::Error)?;
+            match self.ask(link, line, number).await {
+                Step::Answered(page) if page.status == 500 => return Err(self.ended(&page, None)),
+                Step::Answered(page) if page.page == Some(number) && rows.add(page.body.clone()).is_ok() => {
+                    faults = 0
                 }
-                Ok(_) => return Err(Outcome::Error),
-                Err(CallFault::Refused) => return Err(Outcome::Reset),
-                Err(_) => {
-                    Timer::after(BREATHER).await;
+                Step::Fault(CallFault::Refused) => return Err(bare(Outcome::Reset)),
+                Step::Mail(ExecutionMail::GiveUp) => return Err(self.give_up(link).await),
+                Step::Mail(ExecutionMail::Priority(_)) => {}
+                Step::Answered(_) | Step::Fault(_) => {
+                    *line = None;
+                    faults += 1;
+                    if faults > 1 {
+                        Timer::after(BREATHER).await;
+                    }
                 }
             }
         }
         Ok(rows)
     }
 
-    /// Gives it up; it is no longer out when this returns: the engine has the whole call, has no process, or
-    /// has long dropped the query since nobody asked for it.
-    async fn give_up(&self, link: &Rc<Link>, last_asked: Instant) -> End {
+    /// Gives it up; it is no longer out when this returns: the engine has answered to that, has no process, or has
+    /// long dropped the query since nobody asked for it.
+    async fn give_up(&self, link: &Link) -> End {
+        let dropped = Instant::now() + DROPPED_UNASKED;
         let call = http::write_delete(&self.start.id, &link.host());
-        let kept = within(GIVE_UP_ANSWER, self.fresh_call(link, &call)).await;
-        if matches!(kept, Ok(_) | Err(CallFault::Refused)) {
-            return bare(Outcome::Cancelled);
-        }
-        // On a new connection a call that has gone out whole comes whole: the machine is there.
-        if let Ok(mut connection) = link.connect().await
-            && connection.write(&call).await.is_ok()
-        {
-            let _ = within(GIVE_UP_ANSWER, connection.answer()).await;
-            return bare(Outcome::Cancelled);
-        }
-        Timer::at(last_asked + DROPPED_UNASKED + BREATHER).await;
+        let told = async {
+            loop {
+                match link.call(&mut None, &call).await {
+                    Ok(Answer { status: 204 | 500, .. }) | Err(CallFault::Refused) => return,
+                    Ok(_) | Err(_) => Timer::after(BREATHER).await,
+                };
+            }
+        };
+        told.or(async {
+            Timer::at(dropped).await;
+        })
+        .await;
         bare(Outcome::Cancelled)
     }
 }
 
-fn bare(outcome: Outcome) -> End {
-    End { outcome, true_cost: None, report: Vec::new(), rows: None }
+/// The first page of a good end, if it is one.
+fn first_page(end: &Answer) -> Option<Rows> {
+    let mut rows = Rows::default();
+    let first = end.status == 200 && end.page_count.is_some() && matches!(end.page, None | Some(0));
+    (first && rows.add(end.body.clone()).is_ok()).then_some(rows)
 }
 
-async fn within(
-    limit: Duration,
-    call: impl Future<Output = Result<Answer, CallFault>>,
-) -> Result<Answer, CallFault> {
-    call.or(async {
-        Timer::after(limit).await;
-        Err(CallFault::NoAnswer)
-    })
-    .await
+fn bare(outcome: Outcome) -> End {
+    End { outcome, true_cost: None, report: Vec::new(), rows: None }
 }
--- a/crates/ivypitch-gateway/src/actors/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/mod.rs
@@ -71,8 +71,12 @@
 #[derive(Debug)]
 pub enum Answer {
     Completed(Rows),
-    Rejected { come_back: Nanos },
+    Rejected {
+        come_back: Nanos,
+    },
     Aborted,
+    /// Another open statement has its id.
+    IdTaken,
     Killed,
 }
 
--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -20,7 +20,7 @@
 use super::{Answer, End, ExecutionKey, ExecutionMail, ModuleMail};
 use crate::life::clock::Clock;
 use crate::memory::engines::{EngineIds, id_as_number};
-use crate::memory::pool::Permits;
+use crate::memory::permits::Permits;
 use crate::memory::statements::{Out, Statements};
 use crate::wire::fields::Fields;
 use crate::wire::http::Start;
@@ -171,9 +171,13 @@
             ModuleMail::Arrived { connection, fields, workload, customer, at, client } => {
                 let deadline = (at + fields.timeout_ms * MS).min(world.answer_by);
                 let arrival = arrival(&fields, workload, customer, deadline.saturating_sub(now));
-                let stmt = world.stmts.open(connection, fields, deadline, client);
-                world.watch_statement(stmt);
-                gateway.arrive(now, stmt, arrival, world);
+                match world.stmts.open(connection, fields, deadline, client) {
+                    Ok(stmt) => {
+                        world.watch_statement(stmt);
+                        gateway.arrive(now, stmt, arrival, world);
+                    }
+                    Err(client) => drop(client.try_send(Answer::IdTaken)),
+                }
             }
             ModuleMail::Gone { connection } => {
                 if let Some(stmt) = world.stmts.of_connection(connection) {
@@ -311,15 +315,17 @@
             self.mailboxes.resize_with(ix.0 + 1, || None);
         }
         match server.addr.parse() {
-            Ok(address) => self.engine_at(ix, address),
+            Ok(address) if phase != EnginePhase::Gone => self.engine_at(ix, address),
+            Ok(_) => {}
             Err(_) if phase != EnginePhase::Gone => {
                 log::warn!("engine {} {}: address {:?} not understood", ix.0, server.id, server.addr);
                 return None;
             }
             Err(_) => {}
         }
-        if let (EnginePhase::Gone, Some(actor)) = (phase, &self.mailboxes[ix.0]) {
-            let _ = actor.mailbox.try_send(EngineMail::Gone);
+        if phase == EnginePhase::Gone {
+            // Its actor ends with its mailbox.
+            self.mailboxes[ix.0] = None;
         }
         Some(EngineRow {
             engine: ix,
@@ -344,9 +350,7 @@
         log::info!("engine {} is {} at {address}", ix.0, self.engines.id(ix));
         let stated = |limit: Nanos, or: Duration| if limit > 0 { Duration::from_nanos(limit) } else { or };
         let connect_timeout = stated(self.limits.connect_timeout, CONNECT_TIMEOUT);
-        // Ahead of the engine's own time, so that no call crosses a close.
-        let idle = stated(self.limits.idle_close, Duration::from_secs(15)) * 2 / 3;
-        let link = Link::new(address, connect_timeout, idle, self.permits.clone());
+        let link = Link::new(address, connect_timeout, self.permits.clone());
         let (mailbox, letters) = async_channel::unbounded();
         self.executor.spawn(engine::run(link, letters, self.executor.clone())).detach();
         self.mailboxes[ix.0] = Some(EngineActor { address, mailbox });
@@ -382,8 +386,14 @@
             priority: Cell::new(None),
             module: self.module.clone(),
         };
-        if let Some(Some(actor)) = self.mailboxes.get(engine.0) {
-            let _ = actor.mailbox.try_send(EngineMail::Start(execution));
+        match self.mailboxes.get(engine.0) {
+            Some(Some(actor)) => drop(actor.mailbox.try_send(EngineMail::Start(execution))),
+            // The engine has gone meanwhile: nothing was sent.
+            _ => {
+                let end =
+                    End { outcome: Outcome::ConnectFailed, true_cost: None, report: Vec::new(), rows: None };
+                let _ = self.module.try_send(ModuleMail::Ended { key, end });
+            }
         }
     }
 
--- a/crates/ivypitch-gateway/src/actors/session.rs
+++ b/crates/ivypitch-gateway/src/actors/session.rs
@@ -1,121 +1,157 @@
-//! A client's session: login, one statement at a time, its one answer.
+//! A client's session: login, one statement at a time, its one answer. Whatever a client sends or leaves out, a
+//! session's buffers, counts and waits have bounds, and all sessions together have theirs.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
 use std::net::{Shutdown, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use bytes::{Bytes, BytesMut};
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncWriteExt, FutureExt, future::yield_now};
 use ivypitch_deployment::Names;
 
 use super::{Answer, ModuleMail};
+use crate::life::bounds::Bounds;
 use crate::life::clock::Clock;
-use crate::memory::rows::COLUMNS;
+use crate::memory::rows::{COLUMNS, Rows};
 use crate::wire::fields;
 use crate::wire::mysql::{self, Command, Fault, Packet, Writer};
 
 const USER: &[u8] = b"app";
 const DATABASE: &[u8] = b"dw";
-/// Clients close idle connections after 4 s; one idle for twice as long has been left behind.
-const IDLE: Duration = Duration::from_secs(8);
+/// A connection is owed an answer or a close within 3 s: so long it may take to log in and give its first command.
+const FIRST_COMMAND: Duration = Duration::from_secs(2);
+/// And so long for the rest of a message that it has begun.
+const REST_OF_MESSAGE: Duration = Duration::from_secs(1);
+/// Clients close idle connections after 4 s; one that is idle for longer has been left behind.
+const IDLE: Duration = Duration::from_secs(5);
+/// A client that reads nothing for so long has gone.
+const UNREAD: Duration = Duration::from_secs(3);
+/// After a last error so much is read and dropped, for so long: closing at once could destroy the error.
+const LINGER: Duration = Duration::from_millis(500);
+const LINGER_BYTES: usize = 256 << 10;
 const READ: usize = 8 << 10;
+/// An answer is written in pieces of about this size.
+const WRITE: usize = 16 << 10;
 
 const TOO_MANY: Fault = (1040, "08004", "Too many connections");
+const BAD_HANDSHAKE: Fault = (1043, "08S01", "Bad handshake");
 const UNKNOWN_COMMAND: Fault = (1047, "08S01", "Unknown command");
 const DENIED: Fault = (1045, "28000", "Access denied: user app with an empty password is expected");
 const NO_DATABASE: Fault = (1049, "42000", "Unknown database: dw is expected");
+const ID_TAKEN: Fault = (1062, "23000", "A statement with this req is open");
 const KILLED: Fault = (1317, "70100", "Query execution was interrupted");
 const ABORTED: Fault = (1105, "HY000", "The statement failed and may have run");
+const OUT_OF_ORDER: Fault =
+    (1156, "08S01", "One command at a time: the answer to the last had not been read");
+const MALFORMED: u16 = 1835;
 const NOT_UNDERSTOOD: u16 = 1064;
 const REJECTED: u16 = 1203;
 
-/// All sessions: their number and that of the statements taken and not yet answered.
+/// What a session has done, least first.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Done {
+    Connected,
+    LoggedIn,
+    Answered,
+}
+
+/// What the others see of a session.
+struct Standing {
+    done: Cell<Done>,
+    since: Cell<Instant>,
+    /// A command has been taken and not been answered yet.
+    busy: Cell<bool>,
+}
+
+struct Seat {
+    standing: Rc<Standing>,
+    task: Task<()>,
+}
+
+/// All sessions, and the number of the statements taken and not yet answered.
 pub struct Sessions {
-    clients: usize,
-    told: usize,
+    bounds: Bounds,
     names: Names,
     clock: Clock,
     module: Sender<ModuleMail>,
     seed: u64,
-    last_connection: Cell<u32>,
-    here: Cell<usize>,
+    last: Cell<u32>,
+    /// By connection number; a seat is emptied as its session ends or is closed.
+    seats: RefCell<BTreeMap<u32, Seat>>,
     open: Cell<usize>,
     fewer: (Sender<()>, Receiver<()>),
 }
 
 impl Sessions {
-    /// Statements of `clients` sessions are served at once; `told` more sessions may be there, and are told that
-    /// there are too many where that is so.
     pub fn new(
-        clients: usize,
-        told: usize,
+        bounds: Bounds,
         names: Names,
         clock: Clock,
         module: Sender<ModuleMail>,
         seed: u64,
     ) -> Rc<Sessions> {
         Rc::new(Sessions {
-            clients,
-            told,
+            bounds,
             names,
             clock,
             module,
             seed,
-            last_connection: Cell::new(0),
-            here: Cell::new(0),
+            last: Cell::new(0),
+            seats: RefCell::default(),
             open: Cell::new(0),
             fewer: async_channel::bounded(1),
         })
     }
 
     pub fn counts(&self) -> (usize, usize) {
-        (self.here.get(), self.open.get())
+        (self.seats.borrow().len(), self.open.get())
     }
 
-    /// More statements are open than clients may be served at once. Asked for each statement: a session that
-    /// came while others were still closing is as good as any.
-    fn too_many(&self) -> bool {
-        self.open.get() > self.clients
-    }
-
-    async fn until(&self, done: impl Fn(&Sessions) -> bool) {
-        while !done(self) {
-            let _ = self.fewer.1.recv().await;
+    /// A new session. Past the bound the one is closed that has done least for longest, and has nothing open.
+    pub fn admit(self: &Rc<Self>, stream: Async<TcpStream>, executor: &LocalExecutor<'static>) {
+        let mut seats = self.seats.borrow_mut();
+        if seats.len() >= self.bounds.clients + self.bounds.told {
+            let idle = seats.iter().filter(|(_, seat)| !seat.standing.busy.get());
+            let least = idle.min_by_key(|(_, seat)| (seat.standing.done.get(), seat.standing.since.get()));
+            let Some(least) = least.map(|(&connection, _)| connection) else { return };
+            seats.remove(&least);
         }
+        self.last.set(self.last.get().wrapping_add(1));
+        let connection = connection_id(self.seed, self.last.get());
+        let standing = Rc::new(Standing {
+            done: Cell::new(Done::Connected),
+            since: Cell::new(Instant::now()),
+            busy: Cell::new(false),
+        });
+        let task = executor.spawn(serve(stream, connection, standing.clone(), self.clone()));
+        seats.insert(connection, Seat { standing, task });
     }
 
-    /// Waits until one more session may be there.
-    pub async fn place(self: &Rc<Self>) -> Place {
-        self.until(|s| s.here.get() < s.clients + s.told).await;
-        self.here.set(self.here.get() + 1);
-        Place(self.clone())
+    /// So many statements are open as clients may have. Asked for each statement: a session that came while
+    /// others were still closing is as good as any.
+    fn too_many(&self) -> bool {
+        self.open.get() >= self.bounds.clients
     }
 
     pub async fn all_answered(&self) {
-        self.until(|s| s.open.get() == 0).await;
+        while self.seats.borrow().values().any(|seat| seat.standing.busy.get()) {
+            let _ = self.fewer.1.recv().await;
+        }
     }
 
-    fn one_less(&self, of: &Cell<usize>) {
-        of.set(of.get() - 1);
+    fn one_less(&self) {
         let _ = self.fewer.0.try_send(());
     }
 }
 
-/// A session's place among all; it is free again once this is dropped.
-pub struct Place(Rc<Sessions>);
-
-impl Drop for Place {
-    fn drop(&mut self) {
-        self.0.one_less(&self.0.here);
-    }
-}
-
-/// Stands for a statement until its answer is written.
+/// Stands for a statement that the module has, until its answer is written.
 struct OpenMark<'a>(&'a Sessions);
 
 impl<'a> OpenMark<'a> {
@@ -127,7 +163,7 @@
 
 impl Drop for OpenMark<'_> {
     fn drop(&mut self) {
-        self.0.one_less(&self.0.open);
+        self.0.open.set(self.0.open.get() - 1);
     }
 }
 
@@ -136,36 +172,54 @@
     input: BytesMut,
     output: BytesMut,
     connection: u32,
+    connected_at: Instant,
+    /// Of the next packet to the client.
+    sequence: u8,
+    standing: &'a Standing,
     sessions: &'a Sessions,
 }
 
 /// Why a session ends. None of it is worth a log line.
 enum Over {
+    /// The client has gone or is too slow.
     Closed,
-    Broken,
-    Quit,
+    /// It is told, then its connection is closed.
+    Told(Fault<'static>),
 }
 
 impl From<io::Error> for Over {
     fn from(_: io::Error) -> Self {
-        Over::Broken
+        Over::Closed
     }
 }
 
 impl From<mysql::Broken> for Over {
-    fn from(_: mysql::Broken) -> Self {
-        Over::Broken
+    fn from(mysql::Broken(what): mysql::Broken) -> Self {
+        Over::Told((MALFORMED, "HY000", what))
     }
 }
 
-pub async fn serve(stream: Async<TcpStream>, place: Place, sessions: Rc<Sessions>) {
-    let connection = sessions.last_connection.get().wrapping_add(1).max(1);
-    sessions.last_connection.set(connection);
-    let mut session =
-        Session { stream, input: BytesMut::new(), output: BytesMut::new(), connection, sessions: &sessions };
-    let Err(_over) = session.run().await;
+async fn serve(stream: Async<TcpStream>, connection: u32, standing: Rc<Standing>, sessions: Rc<Sessions>) {
+    let mut session = Session {
+        stream,
+        input: BytesMut::new(),
+        output: BytesMut::new(),
+        connection,
+        connected_at: Instant::now(),
+        sequence: 0,
+        standing: &standing,
+        sessions: &sessions,
+    };
+    let Err(over) = session.run().await;
+    standing.busy.set(false);
+    sessions.one_less();
+    if let Over::Told(fault) = over {
+        session.part(fault).await;
+    }
     let _ = session.stream.get_ref().shutdown(Shutdown::Both);
-    drop(place);
+    if let Some(seat) = sessions.seats.borrow_mut().remove(&connection) {
+        seat.task.detach();
+    }
 }
 
 impl Session<'_> {
@@ -175,28 +229,22 @@
         self.writer(0).greeting(connection, &scramble);
         self.flush().await?;
         let login = self.next_packet().await?;
-        let refused = match mysql::read_login(&login.payload)? {
-            l if l.user != USER || l.password_given => Some(DENIED),
-            l if l.database.is_some_and(|d| d != DATABASE) => Some(NO_DATABASE),
-            _ => None,
-        };
-        let mut writer = self.writer(login.sequence.wrapping_add(1));
-        match refused {
-            Some(fault) => writer.error(fault),
-            None => writer.ok(),
+        match mysql::read_login(&login.payload) {
+            Err(_) => return Err(Over::Told(BAD_HANDSHAKE)),
+            Ok(l) if l.user != USER || l.password_given => return Err(Over::Told(DENIED)),
+            Ok(l) if l.database.is_some_and(|d| d != DATABASE) => return Err(Over::Told(NO_DATABASE)),
+            Ok(_) => self.writer(self.sequence).ok(),
         }
         self.flush().await?;
-        if refused.is_some() {
-            return Err(Over::Closed);
-        }
+        self.has(Done::LoggedIn);
         loop {
             let packet = self.next_packet().await?;
-            let sequence = packet.sequence.wrapping_add(1);
+            self.standing.busy.set(true);
+            let sequence = self.sequence;
             let at = self.sessions.clock.now();
-            let _open = OpenMark::new(self.sessions);
             match mysql::read_command(packet.payload)? {
-                Command::Quit => return Err(Over::Quit),
-                Command::Query(_) if self.sessions.too_many() => self.writer(sequence).error(TOO_MANY),
+                Command::Quit => return Err(Over::Closed),
+                Command::Query(_) if !self.input.is_empty() => return Err(Over::Told(OUT_OF_ORDER)),
                 Command::Query(text) => self.query(text, sequence, at).await?,
                 Command::Ping | Command::ResetConnection => self.writer(sequence).ok(),
                 Command::UseDatabase(name) if name[..] == *DATABASE => self.writer(sequence).ok(),
@@ -204,17 +252,26 @@
                 Command::Unknown(_) => self.writer(sequence).error(UNKNOWN_COMMAND),
             }
             self.flush().await?;
+            self.standing.busy.set(false);
+            self.sessions.one_less();
+            // Others come first, however much has come at once on this one.
+            yield_now().await;
         }
     }
 
+    fn has(&self, done: Done) {
+        self.standing.done.set(done);
+        self.standing.since.set(Instant::now());
+    }
+
     async fn query(&mut self, text: Bytes, sequence: u8, at: u64) -> Result<(), Over> {
-        let module = &self.sessions.module;
+        let sessions = self.sessions;
         if let Some(connection) = mysql::kill_query(&text) {
-            let _ = module.try_send(ModuleMail::Kill { connection });
+            let _ = sessions.module.try_send(ModuleMail::Kill { connection });
             self.writer(sequence).ok();
             return Ok(());
         }
-        let names = &self.sessions.names;
+        let names = &sessions.names;
         let index = |list: &[String], name: &Bytes| list.iter().position(|n| n.as_bytes() == &name[..]);
         let read = fields::read(&text).and_then(|fields| {
             let workload = index(&names.workloads, &fields.kind).ok_or("kind is none of the deployment's")?;
@@ -231,48 +288,65 @@
                 return Ok(());
             }
         };
+        if sessions.too_many() {
+            self.writer(sequence).error(TOO_MANY);
+            return Ok(());
+        }
+        let _open = OpenMark::new(sessions);
         let (client, answer) = async_channel::bounded(1);
         let connection = self.connection;
-        let _ = module.try_send(ModuleMail::Arrived { connection, fields, workload, customer, at, client });
+        let arrived = ModuleMail::Arrived { connection, fields, workload, customer, at, client };
+        let _ = sessions.module.try_send(arrived);
         let answer = match self.wait(answer).await {
             Ok(answer) => answer,
             Err(over) => {
-                let _ = self.sessions.module.try_send(ModuleMail::Gone { connection });
+                let _ = sessions.module.try_send(ModuleMail::Gone { connection });
                 return Err(over);
             }
         };
-        let mut writer = self.writer(sequence);
+        self.has(Done::Answered);
         match answer {
-            Answer::Completed(rows) => writer.result(&COLUMNS, rows.iter()),
+            Answer::Completed(rows) => return self.result(rows, sequence).await,
             Answer::Rejected { come_back: 0 } => {
-                writer.error((REJECTED, "42000", "Refused; the statement did not run"));
+                let text = "Refused; the statement did not run";
+                self.writer(sequence).error((REJECTED, "42000", text));
             }
             Answer::Rejected { come_back } => {
                 let text = format!("Refused; the statement did not run, holdoff={}", come_back / 1_000_000);
-                writer.error((REJECTED, "42000", &text));
+                self.writer(sequence).error((REJECTED, "42000", &text));
             }
-            Answer::Aborted => writer.error(ABORTED),
-            Answer::Killed => writer.error(KILLED),
+            Answer::Aborted => self.writer(sequence).error(ABORTED),
+            Answer::IdTaken => self.writer(sequence).error(ID_TAKEN),
+            Answer::Killed => self.writer(sequence).error(KILLED),
         }
         Ok(())
     }
 
-    /// The answer, unless the client goes first. What else it writes meanwhile is kept for later.
+    async fn result(&mut self, rows: Rows, mut sequence: u8) -> Result<(), Over> {
+        let mut writer = self.writer(sequence);
+        writer.columns(&COLUMNS);
+        sequence = writer.sequence;
+        for page in rows.into_pages() {
+            let mut writer = self.writer(sequence);
+            Rows::of_page(&page).for_each(|row| writer.row(row));
+            sequence = writer.sequence;
+            drop(page);
+            if self.output.len() >= WRITE {
+                self.flush().await?;
+            }
+        }
+        self.writer(sequence).eof();
+        Ok(())
+    }
+
+    /// The answer, unless the client goes first or sends more, which it must not before it has the answer.
     async fn wait(&mut self, answer: Receiver<Answer>) -> Result<Answer, Over> {
-        let answered = async { answer.recv().await.map_err(|_| Over::Broken) };
+        let answered = async { answer.recv().await.map_err(|_| Over::Closed) };
         let gone = async {
-            loop {
-                if self.input.len() > mysql::LARGEST_PACKET {
-                    // Enough is kept; its end shows when the answer is written.
-                    std::future::pending::<()>().await;
-                }
-                if read_some(&self.stream, &mut self.input).await? == 0 {
-                    return Err(Over::Closed);
-                }
-                if self.input[..] == *b"\x01\0\0\0\x01" {
-                    return Err(Over::Quit);
-                }
+            if read_some(&self.stream, &mut self.input).await? == 0 || self.input[..] == *b"\x01\0\0\0\x01" {
+                return Err(Over::Closed);
             }
+            Err(Over::Told(OUT_OF_ORDER))
         };
         answered.or(gone).await
     }
@@ -283,47 +357,95 @@
 
     async fn flush(&mut self) -> Result<(), Over> {
         let mut stream = &self.stream;
-        within(IDLE, async { Ok(stream.write_all(&self.output).await?) }).await?;
+        let unread = Instant::now() + UNREAD;
+        within(unread, async { Ok(stream.write_all(&self.output).await?) }).await?;
         self.output = BytesMut::new();
         Ok(())
     }
 
+    /// The next whole message, in time.
     async fn next_packet(&mut self) -> Result<Packet, Over> {
+        let idle_since = Instant::now();
+        let mut begun = None;
         loop {
-            if let Some(packet) = mysql::next_packet(&mut self.input)? {
+            if let Some(&[_, _, _, sequence]) = self.input.first_chunk() {
+                self.sequence = sequence.wrapping_add(1);
+            }
+            if let Some(packet) = mysql::next_packet(&mut self.input, self.sessions.bounds.message)? {
                 return Ok(packet);
             }
-            let read = within(IDLE, async { Ok(read_some(&self.stream, &mut self.input).await?) });
+            if !self.input.is_empty() {
+                begun.get_or_insert_with(Instant::now);
+            }
+            let until = match (self.standing.done.get(), begun) {
+                (Done::Connected | Done::LoggedIn, _) => self.connected_at + FIRST_COMMAND,
+                (Done::Answered, Some(begun)) => begun + REST_OF_MESSAGE,
+                (Done::Answered, None) => idle_since + IDLE,
+            };
+            let read = within(until, async { Ok(read_some(&self.stream, &mut self.input).await?) });
             if read.await? == 0 {
                 return Err(Over::Closed);
             }
         }
     }
+
+    /// The last error. Our half is closed behind it; what the client still sends is dropped for a while.
+    async fn part(&mut self, fault: Fault<'_>) {
+        self.input = BytesMut::new();
+        self.writer(self.sequence).error(fault);
+        if self.flush().await.is_err() {
+            return;
+        }
+        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+        let dropped = async {
+            let mut bytes = 0;
+            while bytes < LINGER_BYTES {
+                self.input.clear();
+                match read_some(&self.stream, &mut self.input).await? {
+                    0 => break,
+                    n => bytes += n,
+                }
+            }
+            Ok(())
+        };
+        let _ = within(Instant::now() + LINGER, dropped).await;
+    }
 }
 
-async fn within<T>(limit: Duration, work: impl Future<Output = Result<T, Over>>) -> Result<T, Over> {
+async fn within<T>(until: Instant, work: impl Future<Output = Result<T, Over>>) -> Result<T, Over> {
     work.or(async {
-        Timer::after(limit).await;
+        Timer::at(until).await;
         Err(Over::Closed)
     })
     .await
 }
 
-/// Reads what is there into the buffer's free end. Dropped before it is done, it leaves the buffer as it was.
+/// Reads what is there into the buffer's free end; nothing is kept for it while nothing comes. Dropped before it
+/// is done, it leaves the buffer as it was.
 pub async fn read_some(stream: &Async<TcpStream>, into: &mut BytesMut) -> io::Result<usize> {
     loop {
-        stream.readable().await?;
         let start = into.len();
         into.resize(start + READ, 0);
         let n = io::Read::read(&mut stream.get_ref(), &mut into[start..]);
         into.truncate(start + n.as_ref().copied().unwrap_or(0));
         match n {
-            Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::Interrupted) => {}
+            Err(e) if e.kind() == io::ErrorKind::WouldBlock => {
+                if into.is_empty() {
+                    *into = BytesMut::new();
+                }
+                stream.readable().await?;
+            }
+            Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
             done => return done,
         }
     }
 }
 
+/// Numbers of connections, each once, that a client can't guess from its own.
+fn connection_id(seed: u64, number: u32) -> u32 {
+    number.wrapping_mul(0x9e37_79b1).rotate_left(15).wrapping_mul(0x85eb_ca6b) ^ (seed >> 16) as u32
+}
+
 /// The greeting's random bytes, none of them zero. With an empty password nothing hangs on them.
 fn scramble(seed: u64, connection: u32) -> [u8; 20] {
     let mut state = seed ^ u64::from(connection).wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1;
--- a/crates/ivypitch-gateway/src/life/configuration.rs
+++ b/crates/ivypitch-gateway/src/life/configuration.rs
@@ -1,15 +1,18 @@
 //! What the gateway is told at its start.
 
 use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
 
 use ivypitch_deployment::Given;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 
+use super::bounds::Bounds;
 use crate::wire::journal::Known;
 
 /// Used where the configuration states no limit.
 const SOCKETS: usize = 1024;
+const MEMORY_MB: usize = 192;
 
 #[derive(Deserialize)]
 struct File<'a> {
@@ -32,19 +35,23 @@
 #[serde(default)]
 struct FileLimits {
     sockets: usize,
+    memory_mb: usize,
 }
 
 pub struct Configuration {
+    /// Where it came from, to be read again there.
+    pub path: PathBuf,
     pub name: String,
     pub listen: SocketAddr,
     pub seed: u64,
-    pub sockets: usize,
+    pub bounds: Bounds,
     pub journal: Option<SocketAddr>,
     pub known: Known,
     pub given: Given,
 }
 
 pub fn read(text: &str) -> Result<Configuration, String> {
+    let stated = |limit: usize, or: usize| if limit == 0 { or } else { limit };
     let file: File = serde_json::from_str(text).map_err(|e| e.to_string())?;
     let address =
         |text: &str, what| text.parse().map_err(|_| format!("{what} {text:?} is no address and port"));
@@ -52,10 +59,11 @@
         listen: address(&file.listen, "listen")?,
         journal: if file.journal.is_empty() { None } else { Some(address(&file.journal, "journal")?) },
         seed: u64::from_str_radix(&file.seed, 16).unwrap_or(0),
-        sockets: if file.limits.sockets == 0 { SOCKETS } else { file.limits.sockets },
+        bounds: Bounds::new(stated(file.limits.sockets, SOCKETS), stated(file.limits.memory_mb, MEMORY_MB)),
         given: ivypitch_deployment::read(file.settings.get().as_bytes())
             .map_err(|e| format!("settings: {e}"))?,
         known: file.known,
+        path: PathBuf::new(),
         name: file.name,
     })
 }
@@ -63,8 +71,7 @@
 /// Reads the file that the environment names.
 pub fn from_environment() -> Result<Configuration, String> {
     let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set".to_owned())?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("{path}: {e}"))?;
-    let mut configuration = read(&text).map_err(|e| format!("{path}: {e}"))?;
+    let mut configuration = from_file(Path::new(&path))?;
     if let Ok(listen) = std::env::var("PROXY_LISTEN") {
         configuration.listen =
             listen.parse().map_err(|_| format!("PROXY_LISTEN {listen:?} is no address and port"))?;
@@ -74,3 +81,10 @@
     }
     Ok(configuration)
 }
+
+pub fn from_file(path: &Path) -> Result<Configuration, String> {
+    let named = |what: String| format!("{}: {what}", path.display());
+    let text = std::fs::read_to_string(path).map_err(|e| named(e.to_string()))?;
+    let configuration = read(&text).map_err(named)?;
+    Ok(Configuration { path: path.to_owned(), ..configuration })
+}
--- a/crates/ivypitch-gateway/src/life/mod.rs
+++ b/crates/ivypitch-gateway/src/life/mod.rs
@@ -1,5 +1,6 @@
-//! Start and stop: configuration, clock, logger, signals, and the program as one object with named phases.
+//! Start and stop: configuration, bounds, clock, logger, signals, and the program as one object with named phases.
 
+pub mod bounds;
 pub mod clock;
 pub mod configuration;
 pub mod logger;
--- a/crates/ivypitch-gateway/src/life/program.rs
+++ b/crates/ivypitch-gateway/src/life/program.rs
@@ -1,7 +1,10 @@
 //! The program from start to exit.
 
 use std::fmt;
-use std::net::{TcpListener, TcpStream};
+use std::future::Future;
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -9,13 +12,14 @@
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
-use futures_lite::{FutureExt, StreamExt};
+use futures_lite::{FutureExt, StreamExt, future::yield_now};
 use ivypitch::interface::Nanos;
 
 use super::clock::Clock;
-use super::configuration::Configuration;
-use crate::actors::{ModuleMail, list, module, session};
-use crate::memory::pool::Permits;
+use super::configuration::{self, Configuration};
+use crate::actors::list::List;
+use crate::actors::{ModuleMail, module, session};
+use crate::memory::permits::Permits;
 
 /// After SIGTERM new connections go on coming for 0.4 s and requests on open ones for 0.2 s more.
 const OVERLAP: Duration = Duration::from_millis(700);
@@ -54,34 +58,36 @@
     sessions: Rc<session::Sessions>,
     listener: Rc<Async<TcpListener>>,
     module: Sender<ModuleMail>,
+    list: Sender<SocketAddr>,
+    signals: Signals,
+    configuration: PathBuf,
+    journal: Option<SocketAddr>,
     longest_timeout: Nanos,
 }
 
+/// The signals that the program heeds. From here on none of them ends it unasked; each waits to be read.
+pub fn signals() -> Result<Signals, String> {
+    Signals::new([Signal::Hup, Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))
+}
+
 impl Program {
     /// Brings everything up; an error ends the program before it has taken anything.
-    pub fn start(configuration: Configuration, clock: Clock) -> Result<Program, String> {
-        let Configuration { name, listen, seed, sockets, journal, known, mut given } = configuration;
+    pub fn start(configuration: Configuration, clock: Clock, signals: Signals) -> Result<Program, String> {
+        let Configuration { path, name, listen, seed, bounds, journal, known, mut given } = configuration;
         let listener = Async::<TcpListener>::bind(listen).map_err(|e| format!("listen on {listen}: {e}"))?;
         let listen = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
         let executor = Rc::new(LocalExecutor::new());
         let (module, mailbox) = async_channel::unbounded();
         let workloads = given.facts.workloads.len();
         let longest_timeout = given.facts.workloads.iter().map(|w| w.statement_timeout).max().unwrap_or(0);
-        // Clients get a third of the descriptors and a sixteenth for those that are turned away; a few remain
-        // for the listener, the journal service, signals and the log.
-        let clients = sockets / 3;
-        let told = sockets / 16;
-        given.facts.most_held = given.facts.most_held.min(clients);
-        let engines = (sockets - clients - told).saturating_sub(48).max(1);
-        let sessions =
-            session::Sessions::new(clients, told, given.names.clone(), clock, module.clone(), seed);
-        let pos = known.pos;
-        let actor =
-            module::Module::new(given, seed, clock, Permits::new(engines), module.clone(), executor.clone());
+        given.facts.most_held = given.facts.most_held.min(bounds.clients);
+        let sessions = session::Sessions::new(bounds, given.names.clone(), clock, module.clone(), seed);
+        let follower = List { last: known.pos, longest_line: bounds.journal_line, module: module.clone() };
+        let permits = Permits::new(bounds.engines);
+        let actor = module::Module::new(given, seed, clock, permits, module.clone(), executor.clone());
         executor.spawn(actor.run(mailbox, known)).detach();
-        if let Some(address) = journal {
-            executor.spawn(list::follow(address, pos, module.clone())).detach();
-        }
+        let (list, addresses) = async_channel::unbounded();
+        executor.spawn(follower.run(journal, addresses)).detach();
         let program = Program {
             phase: Phase::Starting,
             clock,
@@ -89,11 +95,17 @@
             sessions,
             listener: Rc::new(listener),
             module,
+            list,
+            signals,
+            configuration: path,
+            journal,
             longest_timeout,
         };
         log::info!(
-            "{name} {}: listens on {listen}, {workloads} workloads, {clients} clients, {engines} engine connections",
-            program.phase
+            "{name} {}: listens on {listen}, {workloads} workloads, {} clients, {} engine connections",
+            program.phase,
+            bounds.clients,
+            bounds.engines
         );
         Ok(program)
     }
@@ -102,33 +114,66 @@
     pub fn run(mut self) -> Result<(), String> {
         let executor = self.executor.clone();
         async_io::block_on(executor.run(async move {
-            let mut signals =
-                Signals::new([Signal::Term, Signal::Int]).map_err(|e| format!("signals: {e}"))?;
             let accepting = self.executor.spawn(accept(
                 self.listener.clone(),
                 self.sessions.clone(),
                 self.executor.clone(),
             ));
             self.enter(Phase::Serving);
-            signals.next().await;
+            self.heeding(std::future::pending()).await;
             self.enter(Phase::Overlap);
             let longest = self.longest_timeout.min(KILL_WAITS_AT_MOST) + OVERLAP.as_nanos() as Nanos;
             let by = self.clock.now() + longest - LAST_ANSWERS;
             let _ = self.module.try_send(ModuleMail::Drain { by });
-            Timer::after(OVERLAP).await;
+            self.heeding(async {
+                Timer::after(OVERLAP).await;
+            })
+            .await;
             accepting.cancel().await;
             self.enter(Phase::Finishing);
-            self.sessions
-                .all_answered()
-                .or(async {
-                    Timer::at(self.clock.instant(by + LAST_ANSWERS)).await;
-                })
-                .await;
+            let (sessions, late) = (self.sessions.clone(), self.clock.instant(by + LAST_ANSWERS));
+            self.heeding(sessions.all_answered().or(async {
+                Timer::at(late).await;
+            }))
+            .await;
             self.enter(Phase::Stopped);
             Ok(())
         }))
     }
 
+    /// Until `done`, or, while the program serves, until SIGTERM; SIGHUP reloads in every phase.
+    async fn heeding(&mut self, done: impl Future<Output = ()>) {
+        let mut done = pin!(done);
+        loop {
+            let signal = async { self.signals.next().await.and_then(Result::ok) };
+            let over = async {
+                done.as_mut().await;
+                None
+            };
+            match signal.or(over).await {
+                Some(Signal::Hup) => self.reload(),
+                Some(_) if self.phase != Phase::Serving => {}
+                _ => return,
+            }
+        }
+    }
+
+    /// Reads the configuration again. The journal service is followed at its new address; all else stays.
+    fn reload(&mut self) {
+        let journal = configuration::from_file(&self.configuration)
+            .and_then(|new| new.journal.ok_or_else(|| "it names no journal".into()));
+        match journal {
+            Ok(journal) => {
+                log::info!("reload while {}: journal at {journal}", self.phase);
+                if self.journal != Some(journal) {
+                    self.journal = Some(journal);
+                    let _ = self.list.try_send(journal);
+                }
+            }
+            Err(why) => log::error!("reload while {}: nothing changed: {why}", self.phase),
+        }
+    }
+
     /// The one function that changes the phase.
     fn enter(&mut self, phase: Phase) {
         let (sessions, open) = self.sessions.counts();
@@ -137,30 +182,30 @@
     }
 }
 
+/// Never waits for a place: the sessions make one.
 async fn accept(
     listener: Rc<Async<TcpListener>>,
     sessions: Rc<session::Sessions>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
+    let mut well = true;
     loop {
-        let place = sessions.place().await;
         match listener.accept().await {
-            Ok((stream, _)) => serve(stream, place, &sessions, &executor),
+            Ok((stream, _)) => {
+                let _ = stream.get_ref().set_nodelay(true);
+                sessions.admit(stream, &executor);
+                well = true;
+                // What has come with it is read before the next is let in.
+                yield_now().await;
+            }
             Err(e) => {
                 // Descriptors or memory are short for a moment, or the client has gone already.
-                log::warn!("accept: {e}");
+                if well {
+                    log::warn!("accept: {e}");
+                }
+                well = false;
                 Timer::after(Duration::from_millis(10)).await;
             }
         }
     }
 }
-
-fn serve(
-    stream: Async<TcpStream>,
-    place: session::Place,
-    sessions: &Rc<session::Sessions>,
-    executor: &Rc<LocalExecutor<'static>>,
-) {
-    let _ = stream.get_ref().set_nodelay(true);
-    executor.spawn(session::serve(stream, place, sessions.clone())).detach();
-}
--- a/crates/ivypitch-gateway/src/main.rs
+++ b/crates/ivypitch-gateway/src/main.rs
@@ -2,14 +2,15 @@
 
 use std::process::ExitCode;
 
-use ivypitch_gateway::life::{clock::Clock, configuration, logger, program::Program};
+use ivypitch_gateway::life::{clock::Clock, configuration, logger, program};
 
 fn main() -> ExitCode {
     let clock = Clock::start();
     logger::install(clock);
-    let outcome = configuration::from_environment()
-        .and_then(|configuration| Program::start(configuration, clock))
-        .and_then(Program::run);
+    let outcome = program::signals().and_then(|signals| {
+        let configuration = configuration::from_environment()?;
+        program::Program::start(configuration, clock, signals)?.run()
+    });
     match outcome {
         Ok(()) => ExitCode::SUCCESS,
         Err(what) => {
--- a/crates/ivypitch-gateway/src/memory/mod.rs
+++ b/crates/ivypitch-gateway/src/memory/mod.rs
@@ -1,6 +1,6 @@
 //! What is kept. Each part says what empties it.
 
 pub mod engines;
-pub mod pool;
+pub mod permits;
 pub mod rows;
 pub mod statements;
--- a/crates/ivypitch-gateway/src/memory/rows.rs
+++ b/crates/ivypitch-gateway/src/memory/rows.rs
@@ -15,10 +15,12 @@
 impl Rows {
     /// Adds the next page: whole rows of three columns, within the size of a result.
     pub fn add(&mut self, page: Bytes) -> Result<(), &'static str> {
-        self.bytes += page.len();
-        if self.bytes > LARGEST_RESULT {
+        if self.bytes + page.len() > LARGEST_RESULT {
             return Err("result too large");
         }
+        if std::str::from_utf8(&page).is_err() {
+            return Err("page is no text");
+        }
         if !page.is_empty() && !page.ends_with(b"\n") {
             return Err("row cut short");
         }
@@ -26,6 +28,7 @@
         if rows_of(&page).any(|row| columns(row) != COLUMNS.len()) {
             return Err("row without three columns");
         }
+        self.bytes += page.len();
         self.pages.push(page);
         Ok(())
     }
@@ -34,8 +37,13 @@
         self.pages.len()
     }
 
-    pub fn iter(&self) -> impl Iterator<Item = impl Iterator<Item = &[u8]>> {
-        self.pages.iter().flat_map(|page| rows_of(page)).map(|row| row.split(|&b| b == b'\t'))
+    pub fn into_pages(self) -> impl Iterator<Item = Bytes> {
+        self.pages.into_iter()
+    }
+
+    /// The rows of one page, each as its columns.
+    pub fn of_page(page: &[u8]) -> impl Iterator<Item = impl Iterator<Item = &[u8]>> {
+        rows_of(page).map(|row| row.split(|&b| b == b'\t'))
     }
 }
 
--- a/crates/ivypitch-gateway/src/memory/statements.rs
+++ b/crates/ivypitch-gateway/src/memory/statements.rs
@@ -1,6 +1,6 @@
 //! The open statements: from their arrival until the module forgets them.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use async_channel::Sender;
 use ivypitch::interface::{EngineIx, Nanos, StmtIx};
@@ -39,17 +39,24 @@
     places: Vec<Option<Open>>,
     free: Vec<usize>,
     by_connection: HashMap<u32, StmtIx>,
+    /// The ids of the statements in `places`.
+    reqs: HashSet<u64>,
     serial: u64,
 }
 
 impl Statements {
+    /// `None`, and the client back, where a statement is open, or out, under the same id: at the engines the id
+    /// names the query.
     pub fn open(
         &mut self,
         connection: u32,
         fields: Fields,
         deadline: Nanos,
         client: Sender<Answer>,
-    ) -> StmtIx {
+    ) -> Result<StmtIx, Sender<Answer>> {
+        if !self.reqs.insert(fields.req_number()) {
+            return Err(client);
+        }
         let ix = self.free.pop().unwrap_or_else(|| {
             self.places.push(None);
             self.places.len() - 1
@@ -67,7 +74,7 @@
             priority: 1,
         });
         self.by_connection.insert(connection, StmtIx(ix));
-        StmtIx(ix)
+        Ok(StmtIx(ix))
     }
 
     pub fn get(&mut self, ix: StmtIx) -> Option<&mut Open> {
@@ -96,7 +103,8 @@
 
     pub fn close(&mut self, ix: StmtIx) {
         self.answer(ix);
-        if self.places.get_mut(ix.0).and_then(Option::take).is_some() {
+        if let Some(open) = self.places.get_mut(ix.0).and_then(Option::take) {
+            self.reqs.remove(&open.fields.req_number());
             self.free.push(ix.0);
         }
     }
--- a/crates/ivypitch-gateway/src/wire/fields.rs
+++ b/crates/ivypitch-gateway/src/wire/fields.rs
@@ -21,6 +21,25 @@
     pub table_group: u32,
 }
 
+impl Fields {
+    /// The id as a number; [`read`] has checked its digits.
+    pub fn req_number(&self) -> u64 {
+        std::str::from_utf8(&self.req).ok().and_then(|req| u64::from_str_radix(req, 16).ok()).unwrap_or(0)
+    }
+}
+
+/// A day, and 16 TB: what is longer or larger is no figure of a statement.
+const MOST_MS: f64 = 86_400_000.0;
+const MOST_MB: f64 = 16_777_216.0;
+
+/// Digits, with a fraction perhaps, and no more than `most`.
+fn number(value: &[u8], most: f64) -> Option<f64> {
+    let text = std::str::from_utf8(value).ok()?;
+    let (whole, fraction) = text.split_once('.').unwrap_or((text, "0"));
+    let digits = |part: &str| !part.is_empty() && part.bytes().all(|b| b.is_ascii_digit());
+    (digits(whole) && digits(fraction)).then(|| text.parse().ok())?.filter(|n| *n <= most)
+}
+
 /// Reads them; an error is a text for the client.
 pub fn read(text: &Bytes) -> Result<Fields, &'static str> {
     let start = text.iter().position(|b| !b.is_ascii_whitespace()).unwrap_or(text.len());
@@ -32,6 +51,7 @@
     let body = start + 2 + length + 2 + rest.iter().take_while(|b| b.is_ascii_whitespace()).count();
     let mut fields = Fields { statement: text.slice(body..), ..Fields::default() };
     let mut timeout = None;
+    let mut named: Vec<&[u8]> = Vec::new();
     for field in comment.split(|&b| b == b',') {
         let field = field.trim_ascii();
         let Some(equals) = field.iter().position(|&b| b == b'=') else {
@@ -39,19 +59,21 @@
         };
         let (name, value) = (&field[..equals], &field[equals + 1..]);
         let word = || comment.slice_ref(value);
-        let number =
-            || std::str::from_utf8(value).ok().and_then(|v| v.parse::<f64>().ok()).filter(|n| n.is_finite());
+        if named.contains(&name) {
+            return Err("a field stands twice");
+        }
+        named.push(name);
         match name {
             b"kind" => fields.kind = word(),
             b"req" => fields.req = word(),
-            b"timeout" => timeout = number(),
+            b"timeout" => timeout = number(value, MOST_MS).filter(|ms| *ms >= 1.0),
             b"owner" => fields.owner = Some(word()),
             b"ms" => {
                 fields.work_ms =
-                    Some(number().filter(|&n| n >= 0.0).ok_or("the estimate of work is no number")?)
+                    Some(number(value, MOST_MS).ok_or("the estimate of work is no usable number")?);
             }
             b"space" => {
-                let mb = number().filter(|&n| n >= 0.0).ok_or("the estimate of memory is no number")?;
+                let mb = number(value, MOST_MB).ok_or("the estimate of memory is no usable number")?;
                 fields.memory_mb = Some(mb as f32);
             }
             b"resent" => fields.is_repeat = value != b"0",
@@ -61,8 +83,6 @@
     if fields.req.len() != 16 || !fields.req.iter().all(u8::is_ascii_hexdigit) {
         return Err("req is not 16 hex digits");
     }
-    // A day at most: what is longer is no time that a client waits.
-    let timeout = timeout.filter(|t| (1.0..=86_400_000.0).contains(t));
     fields.timeout_ms = timeout.ok_or("timeout is not a usable number of milliseconds")? as u64;
     fields.table_group = table_group(&fields.statement).ok_or("the statement names no group of tables")?;
     Ok(fields)
--- a/crates/ivypitch-gateway/src/wire/http.rs
+++ b/crates/ivypitch-gateway/src/wire/http.rs
@@ -6,6 +6,8 @@
 
 /// A page is 6,000 bytes at most; a longer body is no answer of an engine.
 pub const LARGEST_BODY: usize = 6_000;
+/// A result holds 48,000 bytes, a page one row of three columns at least.
+const MOST_PAGES: usize = 16_000;
 const LARGEST_HEAD: usize = 8 << 10;
 const MOST_HEADERS: usize = 32;
 
@@ -78,7 +80,7 @@
 #[derive(Debug, PartialEq)]
 pub struct Malformed(pub &'static str);
 
-/// Takes the next whole answer off the front of `input`; `None` until all of it is there.
+/// Takes the next whole answer off the front of `input`, a 1xx too; `None` until all of it is there.
 pub fn next_answer(input: &mut BytesMut) -> Result<Option<Answer>, Malformed> {
     let mut headers = [httparse::EMPTY_HEADER; MOST_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
@@ -94,7 +96,7 @@
     let (mut note, mut figure) = (None, None);
     for header in response.headers.iter() {
         let value = std::str::from_utf8(header.value).map_err(|_| Malformed("header is no text"))?.trim();
-        let number = || value.parse::<f64>().ok().filter(|n| n.is_finite());
+        let number = || value.parse::<f64>().ok().filter(|n| n.is_finite() && *n >= 0.0);
         let is = |name: &str| header.name.eq_ignore_ascii_case(name);
         if is("Content-Length") {
             let n = value.parse::<usize>().map_err(|_| Malformed("length unreadable"))?;
@@ -109,7 +111,8 @@
         } else if is("Srv-Untouched") {
             answer.never_ran = value == "1";
         } else if is("Page-Count") {
-            answer.page_count = Some(value.parse().map_err(|_| Malformed("page count unreadable"))?);
+            let count = value.parse().ok().filter(|n| (1..=MOST_PAGES).contains(n));
+            answer.page_count = Some(count.ok_or(Malformed("page count unreadable"))?);
         } else if is("Page-No") {
             answer.page = Some(value.parse().map_err(|_| Malformed("page number unreadable"))?);
         } else if is("Srv-Note") {
@@ -126,10 +129,11 @@
     }
     answer.note = note.zip(figure);
     let length = match (answer.status, length) {
-        (100..200 | 204 | 304, _) => 0,
+        (100..200 | 204, _) => 0,
+        (200 | 202 | 500 | 503 | 504, None) => return Err(Malformed("no length")),
         (_, Some(length)) if length > LARGEST_BODY => return Err(Malformed("body too long")),
-        (_, Some(length)) => length,
-        (_, None) => return Err(Malformed("no length")),
+        (200 | 202 | 500 | 503 | 504, Some(length)) => length,
+        _ => return Err(Malformed("no status of an engine")),
     };
     if input.len() < head + length {
         return Ok(None);
--- a/crates/ivypitch-gateway/src/wire/mysql.rs
+++ b/crates/ivypitch-gateway/src/wire/mysql.rs
@@ -3,10 +3,6 @@
 
 use bytes::{BufMut, Bytes, BytesMut};
 
-/// A larger packet ends its session. Statements are some hundred bytes; a third of the descriptors times this
-/// and a result stays within the memory limit.
-pub const LARGEST_PACKET: usize = 64 << 10;
-
 const LONG_PASSWORD: u32 = 1;
 const CONNECT_WITH_DB: u32 = 1 << 3;
 const PROTOCOL_41: u32 = 1 << 9;
@@ -34,11 +30,12 @@
     pub payload: Bytes,
 }
 
-/// Takes the next whole packet off the front of `input`; `None` until all of it is there.
-pub fn next_packet(input: &mut BytesMut) -> Result<Option<Packet>, Broken> {
+/// Takes the next whole packet off the front of `input`; `None` until all of it is there. One that is longer than
+/// `largest` is judged from its header.
+pub fn next_packet(input: &mut BytesMut, largest: usize) -> Result<Option<Packet>, Broken> {
     let Some(&[a, b, c, sequence]) = input.first_chunk::<4>() else { return Ok(None) };
     let length = u32::from_le_bytes([a, b, c, 0]) as usize;
-    if length > LARGEST_PACKET {
+    if length > largest {
         return Err(Broken("packet too large"));
     }
     if input.len() < 4 + length {
@@ -101,7 +98,7 @@
         });
     }
 
-    fn eof(&mut self) {
+    pub fn eof(&mut self) {
         self.packet(|p| {
             p.put_slice(&[0xfe, 0, 0]);
             p.put_u16_le(AUTOCOMMIT);
@@ -121,21 +118,18 @@
         });
     }
 
-    /// A whole result set. `rows` yields each row's columns; the caller has checked their number.
-    pub fn result<'r, R: Iterator<Item = &'r [u8]>>(
-        &mut self,
-        columns: &[&[u8]],
-        rows: impl Iterator<Item = R>,
-    ) {
+    /// The begin of a result set: its columns. Rows follow, then [`Writer::eof`].
+    pub fn columns(&mut self, columns: &[&[u8]]) {
         self.packet(|p| put_lenenc(p, columns.len() as u64));
         for name in columns {
             self.column(name);
         }
         self.eof();
-        for row in rows {
-            self.packet(|p| row.for_each(|value| put_lenenc_bytes(p, value)));
-        }
-        self.eof();
+    }
+
+    /// The caller has checked the number of values.
+    pub fn row<'r>(&mut self, row: impl Iterator<Item = &'r [u8]>) {
+        self.packet(|p| row.for_each(|value| put_lenenc_bytes(p, value)));
     }
 }
 
--- a/crates/ivypitch-gateway/tests/serving.rs
+++ b/crates/ivypitch-gateway/tests/serving.rs
@@ -235,8 +235,8 @@
     let journal = Journal::start(&[
         format!("{}{{\"pos\":3,", event(2, false, &[new.row("s-2", "in_service")])) + "\nbroken\n!",
         event(5, false, &[old.row("s-1", "terminated")]),
-        event(2, false, &[]) + &event(1, false, &[]),
-        event(1, false, &[]) + &event(2, false, &[]) + &event(3, false, &changed) + "3\n",
+        "{\"pos\":3,\"hosts!".into(),
+        event(3, false, &changed) + &event(1, false, &[]) + &event(2, false, &[]) + "3\n",
     ]);
     let gateway = Gateway::with("127.0.0.1:0", &[old.row("s-1", "in_service")], Some(&journal), 1024);
     gateway.log.wait("loss", |l| l.contains("journal") && l.contains("lost at 2"));
@@ -260,6 +260,10 @@
 #[test_case("/* kind=lookup,req=0000000000000001,timeout=9e99 */ SELECT a FROM sales_17.orders"; "absurd time")]
 #[test_case("/* kind=lookup,req=0000000000000001 */ SELECT a FROM sales_17.orders"; "time missing")]
 #[test_case("/* kind=lookup,req=0000000000000001,timeout=100,ms=nan */ SELECT a FROM sales_17.o"; "estimate no number")]
+#[test_case("/* kind=lookup,req=0000000000000001,timeout=100,ms=1e300 */ SELECT a FROM sales_17.o"; "absurd work")]
+#[test_case("/* kind=lookup,req=0000000000000001,timeout=100,space=-1 */ SELECT a FROM sales_17.o"; "memory below zero")]
+#[test_case("/* kind=lookup,req=0000000000000001,timeout=100,space=99999999 */ SELECT a FROM s_1.o"; "absurd memory")]
+#[test_case("/* kind=lookup,kind=load,req=0000000000000001,timeout=100 */ SELECT a FROM s_1.o"; "a field twice")]
 #[test_case("/* kind=lookup,req=0000000000000001,timeout=100 */ SELECT 'sales_17.orders' FROM x"; "group in a string")]
 #[test_case("/* kind=lookup,req=0000000000000001,timeout=100 */ SELECT a FROM staging.orders"; "staging alone")]
 #[test_case(""; "empty")]
@@ -274,18 +278,23 @@
     assert_eq!(engine.starts(), 1);
 }
 
-#[test_case(&[0xff, 0xff, 0xff, 0, 3, 3, 3]; "an oversized packet")]
-#[test_case(&[0, 0, 0, 0]; "an empty command")]
-fn what_is_broken_ends_that_session_alone(bytes: &[u8]) {
+#[test_case(&[0xff, 0xff, 0xff, 0, 3, 3, 3], 1835; "an oversized packet")]
+#[test_case(&[0, 0, 0, 0], 1835; "an empty command")]
+#[test_case(&query(&statement("lookup", 1, 5000)).repeat(300), 1156; "hundreds of statements at once")]
+#[test_case(&[2, 0, 0, 0, 3], 0; "a message that never ends")]
+fn what_is_broken_ends_that_session_alone(bytes: &[u8], code: u16) {
     let engine = Engine::served();
     let gateway = Gateway::start(&ready(&engine));
-    let (mut other, mut broken) = (Client::connect(&gateway), Client::connect(&gateway));
+    let mut broken = Client::connect(&gateway);
     broken.send(bytes);
+    if code > 0 {
+        assert_eq!(broken.answer(1).code(), code);
+    }
     assert_eq!(broken.answer(1), Answer::Closed);
     let mut denied = Client::bare(&gateway);
     denied.send(&login("root"));
     assert_eq!(denied.greeted().code(), 1045);
-    assert_eq!(other.ask(&statement("lookup", 1, 5000)), rows(&[["a", "b", "c"]]));
+    assert_eq!(Client::connect(&gateway).ask(&statement("lookup", 1, 5000)), rows(&[["a", "b", "c"]]));
 }
 
 #[test]
@@ -298,11 +307,111 @@
     assert_eq!(last.ask(&statement("lookup", 1, 5000)), rows(&[["a", "b", "c"]]));
 }
 
+#[test]
+fn silent_crowds_are_closed_and_usual_clients_served_beside_them() {
+    let engine = Engine::served();
+    // 16 clients and 3 more.
+    let gateway = Gateway::with("127.0.0.1:0", &ready(&engine), None, 48);
+    let mut usual = Client::connect(&gateway);
+    assert_eq!(usual.ask(&statement("lookup", 1, 5000)), rows(&[["a", "b", "c"]]));
+    let mut crowd: Vec<Client> = (0..200).map(|_| Client::bare(&gateway)).collect();
+    for req in 2..=20 {
+        let answer = Client::connect(&gateway).ask(&statement("lookup", req, 5000));
+        assert_eq!(answer, rows(&[["a", "b", "c"]]));
+    }
+    // That one has done more than any of the crowd, and stays.
+    assert_eq!(usual.ask(&statement("lookup", 21, 5000)), rows(&[["a", "b", "c"]]));
+    for silent in &mut crowd {
+        while silent.packet().is_some() {}
+    }
+}
+
+#[test]
+fn the_id_of_an_open_statement_is_not_taken_twice() {
+    let engine = Engine::busy();
+    let gateway = Gateway::start(&ready(&engine));
+    let (mut client, mut other) = (Client::connect(&gateway), Client::connect(&gateway));
+    client.send(&query(&statement("load", 1, 20_000)));
+    engine.calls.wait("start", |c| c.is("POST"));
+    assert_eq!(other.ask(&statement("lookup", 1, 5000)).code(), 1062);
+    assert_eq!(engine.starts(), 1);
+    assert_eq!(other.ask(&format!("KILL QUERY {}", client.connection)), OK);
+    assert_eq!(client.answer(1).code(), 1317);
+}
+
+/// How an engine spoils the first answer to each call; the result is had whole all the same, and runs once.
+#[test_case("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n{}"; "1xx answers in front")]
+#[test_case("{}{}"; "a second copy")]
+#[test_case("{}\u{1}noise"; "noise behind")]
+#[test_case("noise without end"; "noise")]
+#[test_case("HTTP/1.1 200 OK\r\nPage-Count: 1\r\nContent-Length: 3000000000\r\n\r\na\tb\tc\n"; "3 GB")]
+#[test_case("HTTP/1.1 200 OK\r\nPage-Count: 1\r\nContent-Length: 6\r\n\r\na\tb\tc\nd\te\tf\n"; "a length too short")]
+#[test_case("HTTP/1.1 200 OK\r\nPage-Count: 1\r\nContent-Length: 9\r\n\r\na\tb\t"; "cut short, the connection open")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\na\tb\tc\n"; "no count of pages")]
+#[test_case("HTTP/1.1 204 No Content\r\n\r\n"; "no answer to this")]
+#[test_case("!"; "a reset")]
+#[test_case(""; "silence")]
+fn a_spoilt_answer_is_asked_for_again_and_never_served(spoilt: &'static str) {
+    let spoil = std::sync::Mutex::new(std::collections::HashSet::new());
+    let engine = Engine::start(move |call, _| {
+        let (status, headers, body) = match call.path.rsplit('/').next() {
+            Some("1") => (200, "Page-No: 1\r\n", "d\te\tf\n"),
+            _ => (200, "Page-Count: 2\r\n", "a\tb\tc\n"),
+        };
+        let Reply::Say(good) = say(status, headers, body) else { panic!() };
+        match spoilt {
+            _ if !spoil.lock().unwrap().insert((call.method.clone(), call.path.clone())) => Reply::Say(good),
+            "!" => Reply::Close,
+            "" => Reply::Silence,
+            _ => Reply::Say(spoilt.replace("{}", &good)),
+        }
+    });
+    let gateway = Gateway::start(&ready(&engine));
+    let answer = Client::connect(&gateway).ask(&statement("load", 1, 20_000));
+    assert_eq!(answer, rows(&[["a", "b", "c"], ["d", "e", "f"]]));
+    assert_eq!(engine.starts(), 1);
+}
+
+#[test]
+fn a_give_up_whose_answer_is_noise_is_repeated_until_it_is_heard() {
+    let engine = Engine::start(|call, _| match call.method.as_str() {
+        "DELETE" => Reply::Say("noise\r\n\r\n".into()),
+        _ => say(202, "", ""),
+    });
+    let gateway = Gateway::start(&ready(&engine));
+    assert_eq!(Client::connect(&gateway).ask(&statement("load", 1, 400)).code(), 1105);
+    engine.calls.wait_for("give-ups", 2, |c| c.is("DELETE"));
+}
+
+#[test]
+fn a_reload_follows_the_journal_at_its_new_address_from_the_same_number() {
+    let (old, new) = (Engine::served(), Engine::served());
+    let first = Journal::start(&[event(1, false, &[]) + &event(2, false, &[])]);
+    let second =
+        Journal::start(&[event(3, false, &[old.row("s-1", "terminated"), new.row("s-2", "in_service")])]);
+    let mut gateway = Gateway::with("127.0.0.1:0", &[old.row("s-1", "in_service")], Some(&first), 1024);
+    first.tails.wait("tail", |t| t == "tail 1\n");
+    gateway.configure("{ half");
+    gateway.signal("HUP");
+    gateway.log.wait("a reload that changes nothing", |l| l.contains("nothing changed"));
+    gateway.configure_journal(&second);
+    gateway.signal("HUP");
+    second.tails.wait("tail", |t| t == "tail 2\n" || t == "tail 1\n");
+    gateway.log.wait("the new engine", |l| l.contains("is s-2 at"));
+    assert_eq!(Client::connect(&gateway).ask(&statement("lookup", 1, 5000)), rows(&[["a", "b", "c"]]));
+    assert_eq!((old.starts(), new.starts()), (0, 1));
+    gateway.signal("HUP");
+    gateway.terminate();
+    gateway.log.wait("overlap", |l| l.contains("serving -> overlap"));
+    gateway.signal("HUP");
+    assert_eq!(gateway.exit_code(), Some(0));
+}
+
 #[test_case("{", "EOF"; "no JSON")]
 #[test_case(r#"{"listen":"nowhere","settings":{}}"#, "listen"; "no address")]
 #[test_case(r#"{"listen":"127.0.0.1:0","settings":{}}"#, "settings"; "no settings")]
 fn a_configuration_that_cannot_be_used_ends_the_program_with_one_line(config: &str, word: &str) {
-    let (mut child, log) = spawn(config);
+    let (mut child, log, _) = spawn(config);
     assert_eq!(child.wait().unwrap().code(), Some(1));
     let line = log.wait("line", |_| true);
     assert!(line.contains("ERROR") && line.contains(word), "{line}");
--- a/crates/ivypitch-gateway/tests/stand_ins/mod.rs
+++ b/crates/ivypitch-gateway/tests/stand_ins/mod.rs
@@ -5,6 +5,7 @@
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -36,10 +37,14 @@
     }
     /// The first that fits, waited for.
     pub fn wait(&self, what: &str, fits: impl Fn(&T) -> bool) -> T {
+        self.wait_for(what, 1, fits)
+    }
+    /// The last of so many that fit.
+    pub fn wait_for(&self, what: &str, count: usize, fits: impl Fn(&T) -> bool) -> T {
         let until = Instant::now() + PATIENCE;
         let mut seen = self.0.0.lock().unwrap();
         loop {
-            if let Some(found) = seen.iter().find(|t| fits(t)) {
+            if let Some(found) = seen.iter().filter(|t| fits(t)).nth(count - 1) {
                 return found.clone();
             }
             let left = until.checked_duration_since(Instant::now()).unwrap_or_else(|| panic!("no {what}"));
@@ -211,6 +216,8 @@
 
 pub struct Gateway {
     child: Child,
+    path: PathBuf,
+    config: String,
     pub address: SocketAddr,
     pub log: Seen<String>,
 }
@@ -228,19 +235,34 @@
             r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},
              "journal":"{journal}","known":{{"pos":1,"entries":[{entry}]}},"settings":{SETTINGS}}}"#
         );
-        let (mut child, log) = spawn(&config);
+        let (mut child, log, path) = spawn(&config);
         let line = log.wait("line of the start", |l| l.contains("listens on") || l.contains("ERROR"));
         let address = line.split("listens on ").nth(1).and_then(|l| l.split(',').next()?.parse().ok());
         let address = address.unwrap_or_else(|| {
             let _ = child.kill();
             panic!("not started: {line}")
         });
-        Gateway { child, address, log }
+        Gateway { child, path, config, address, log }
     }
 
     pub fn terminate(&self) {
+        self.signal("TERM");
+    }
+
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        assert!(Command::new("kill").args(["-TERM", &pid]).status().unwrap().success());
+        assert!(Command::new("kill").args([&format!("-{name}"), &pid]).status().unwrap().success());
+    }
+
+    /// Replaces the file of its configuration.
+    pub fn configure(&self, config: &str) {
+        std::fs::write(&self.path, config).unwrap();
+    }
+
+    pub fn configure_journal(&self, journal: &Journal) {
+        let (head, rest) = self.config.split_once("\"journal\":\"").unwrap();
+        let tail = rest.split_once('"').unwrap().1;
+        self.configure(&format!("{head}\"journal\":\"{}\"{tail}", journal.address));
     }
 
     pub fn kill(&mut self) {
@@ -259,8 +281,8 @@
     }
 }
 
-/// The program with this configuration, and its log.
-pub fn spawn(config: &str) -> (Child, Seen<String>) {
+/// The program with this configuration, its log, and where the configuration is.
+pub fn spawn(config: &str) -> (Child, Seen<String>, PathBuf) {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let name = format!("gateway-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
     let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
@@ -271,12 +293,13 @@
         .spawn()
         .unwrap();
     let log = Seen::new();
-    let (lines, seen) = (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone());
+    let (lines, seen, file) =
+        (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone(), path.clone());
     thread::spawn(move || {
         lines.map_while(Result::ok).for_each(|line| seen.push(line));
-        let _ = std::fs::remove_file(path);
+        let _ = std::fs::remove_file(file);
     });
-    (child, log)
+    (child, log, path)
 }
 
 #[derive(Debug, PartialEq)]
@@ -358,7 +381,7 @@
         self.answer(1)
     }
 
-    fn packet(&mut self) -> Option<(u8, Vec<u8>)> {
+    pub fn packet(&mut self) -> Option<(u8, Vec<u8>)> {
         let mut head = [0; 4];
         self.stream.read_exact(&mut head).ok()?;
         let mut payload = vec![0; u32::from_le_bytes([head[0], head[1], head[2], 0]) as usize];
--- a/crates/ivypitch-gateway/tests/wire.rs
+++ b/crates/ivypitch-gateway/tests/wire.rs
@@ -43,12 +43,12 @@
         let mut input = BytesMut::from(&bytes[..cut]);
         let mut packets = Vec::new();
         for rest in [&bytes[cut..], &[]] {
-            while let Some(packet) = mysql::next_packet(&mut input).unwrap() {
+            while let Some(packet) = mysql::next_packet(&mut input, 100).unwrap() {
                 packets.push((packet.sequence, mysql::read_command(packet.payload).unwrap()));
             }
             input.extend_from_slice(rest);
         }
-        while let Some(packet) = mysql::next_packet(&mut input).unwrap() {
+        while let Some(packet) = mysql::next_packet(&mut input, 100).unwrap() {
             packets.push((packet.sequence, mysql::read_command(packet.payload).unwrap()));
         }
         assert_eq!(packets, [(0, Command::Query(Bytes::from("abc"))), (7, Command::Ping)]);
@@ -59,10 +59,12 @@
 fn a_result_is_columns_rows_and_two_ends_with_lengths_of_every_size() {
     let (short, long) = (vec![b'x'; 250], vec![b'y'; 251]);
     let mut out = BytesMut::new();
-    Writer { out: &mut out, sequence: 1 }
-        .result(&[b"c"], [&short, &long].into_iter().map(|v| std::iter::once(&v[..])));
+    let mut writer = Writer { out: &mut out, sequence: 1 };
+    writer.columns(&[b"c"]);
+    [&short, &long].into_iter().for_each(|value| writer.row(std::iter::once(&value[..])));
+    writer.eof();
     let mut packets = Vec::new();
-    while let Some(packet) = mysql::next_packet(&mut out).unwrap() {
+    while let Some(packet) = mysql::next_packet(&mut out, 300).unwrap() {
         packets.push(packet);
     }
     assert!(packets.iter().map(|p| p.sequence).eq(1..=6));
@@ -132,6 +134,9 @@
 
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: 6001\r\n\r\n"; "a body too long")]
 #[test_case("HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n"; "a length below zero")]
+#[test_case("HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\nabc"; "a body of 3 GB")]
+#[test_case("HTTP/1.1 200 OK\r\nPage-Count: 16001\r\nContent-Length: 0\r\n\r\n"; "more pages than rows")]
+#[test_case("HTTP/1.1 302 Found\r\nContent-Length: 0\r\n\r\n"; "a status that no engine has")]
 #[test_case("HTTP/1.1 200 OK\r\n\r\n"; "no length")]
 #[test_case("nonsense\r\n\r\n"; "no HTTP")]
 #[test_case(&format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(9000)); "a head without end")]
