The index of a gone engine passes to another; tables hold what is there now

Seen: EngineIds, the module actor's mailboxes and the module's engine table kept every engine ever listed, and an engine's task never ended (memory/engines.rs index_of, actors/module.rs row, rules.rs engines_listed).

Now the module says what it names (listed, an execution out, a statement that may have run there, the last N sends); whatever it does not is free for the next engine, which begins with nothing of the old one. An actor ends with its engine's mailbox, also when a whole list lacks it. A start for an engine that has gone meanwhile never ran.

--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -267,7 +267,15 @@
         let Module { gateway, world } = self;
         let kind = kind.unwrap_or(if hosts.full { ListKind::Full } else { ListKind::Delta });
         let rows: Vec<EngineRow> = hosts.servers.iter().filter_map(|server| world.row(server)).collect();
+        if kind != ListKind::Delta {
+            // An engine that the whole list lacks has gone.
+            for (ix, actor) in world.mailboxes.iter_mut().enumerate() {
+                actor.take_if(|_| rows.iter().all(|row| row.engine.0 != ix));
+            }
+        }
         gateway.engines_listed(world.now, kind, &rows, world);
+        let World { engines, mailboxes, .. } = world;
+        engines.keep(|ix| gateway.names(ix) || mailboxes.get(ix.0).is_some_and(Option::is_some));
     }
 }
 
@@ -315,7 +323,7 @@
             self.mailboxes.resize_with(ix.0 + 1, || None);
         }
         match server.addr.parse() {
-            Ok(address) if phase != EnginePhase::Gone => self.engine_at(ix, address),
+            Ok(address) if phase != EnginePhase::Gone => self.engine_at(ix, &server.id, address),
             Ok(_) => {}
             Err(_) if phase != EnginePhase::Gone => {
                 log::warn!("engine {} {}: address {:?} not understood", ix.0, server.id, server.addr);
@@ -339,7 +347,7 @@
         })
     }
 
-    fn engine_at(&mut self, ix: EngineIx, address: SocketAddr) {
+    fn engine_at(&mut self, ix: EngineIx, id: &str, address: SocketAddr) {
         if let Some(actor) = &mut self.mailboxes[ix.0] {
             if actor.address != address {
                 actor.address = address;
@@ -347,7 +355,7 @@
             }
             return;
         }
-        log::info!("engine {} is {} at {address}", ix.0, self.engines.id(ix));
+        log::info!("engine {} is {id} at {address}", ix.0);
         let stated = |limit: Nanos, or: Duration| if limit > 0 { Duration::from_nanos(limit) } else { or };
         let connect_timeout = stated(self.limits.connect_timeout, CONNECT_TIMEOUT);
         let link = Link::new(address, connect_timeout, self.permits.clone());
--- a/crates/ivypitch-gateway/src/memory/engines.rs
+++ b/crates/ivypitch-gateway/src/memory/engines.rs
@@ -5,10 +5,10 @@
 
 use ivypitch::interface::EngineIx;
 
-/// Grows with the engines ever listed, as the module's own table does; a start begins from nothing.
+/// Emptied as nothing names an engine that has gone; its index is then given to another.
 #[derive(Default)]
 pub struct EngineIds {
-    ids: Vec<String>,
+    ids: Vec<Option<String>>,
     index: HashMap<String, usize>,
 }
 
@@ -17,13 +17,22 @@
         if let Some(&ix) = self.index.get(id) {
             return EngineIx(ix);
         }
-        self.ids.push(id.to_owned());
-        self.index.insert(id.to_owned(), self.ids.len() - 1);
-        EngineIx(self.ids.len() - 1)
+        let ix = self.ids.iter().position(Option::is_none).unwrap_or(self.ids.len());
+        if ix == self.ids.len() {
+            self.ids.push(None);
+        }
+        self.ids[ix] = Some(id.to_owned());
+        self.index.insert(id.to_owned(), ix);
+        EngineIx(ix)
     }
 
-    pub fn id(&self, ix: EngineIx) -> &str {
-        &self.ids[ix.0]
+    /// Drops the ids whose index nothing names any more.
+    pub fn keep(&mut self, named: impl Fn(EngineIx) -> bool) {
+        for (ix, id) in self.ids.iter_mut().enumerate() {
+            if let Some(id) = id.take_if(|_| !named(EngineIx(ix))) {
+                self.index.remove(&id);
+            }
+        }
     }
 }
 
--- a/crates/ivypitch-gateway/tests/serving.rs
+++ b/crates/ivypitch-gateway/tests/serving.rs
@@ -372,6 +372,62 @@
     assert_eq!(engine.starts(), 1);
 }
 
+#[test]
+fn no_connection_to_an_engine_carries_two_statements_so_late_copies_reach_nobody() {
+    let engine = Engine::served();
+    let gateway = Gateway::start(&ready(&engine));
+    let mut client = Client::connect(&gateway);
+    for req in 1..=5 {
+        assert_eq!(client.ask(&statement("lookup", req, 5000)), rows(&[["a", "b", "c"]]));
+    }
+    let calls = engine.calls.all();
+    let carried = |c: usize| calls.iter().filter(|call| call.connection == c && call.is("POST")).count();
+    assert!((0..5).all(|connection| carried(connection) == 1));
+}
+
+#[test]
+fn an_execution_at_an_engine_whose_address_passes_to_another_ends_as_the_answers_prove() {
+    let (engine, later) = (Engine::start(|_, _| Reply::Silence), Engine::served());
+    let there = |id: &str, state: &str| engine.row(id, state);
+    let journal = Journal::start(&[event(
+        2,
+        false,
+        &[there("s-1", "terminated"), there("s-2", "in_service"), later.row("s-3", "in_service")],
+    )]);
+    let gateway = Gateway::with("127.0.0.1:0", &[there("s-1", "in_service")], Some(&journal), 1024);
+    let mut client = Client::connect(&gateway);
+    client.send(&query(&statement("lookup", 1, 20_000)));
+    assert_eq!(client.answer(1), rows(&[["a", "b", "c"]]));
+    gateway.log.wait("the new engine", |l| l.contains("is s-2 at"));
+}
+
+#[test]
+fn tables_hold_the_engines_there_are_and_not_all_that_ever_were() {
+    let engine = Engine::served();
+    let id = |n: u64| format!("s-{n}");
+    let events = (2..2000)
+        .map(|n| event(n, false, &[engine.row(&id(n - 1), "terminated"), engine.row(&id(n), "in_service")]));
+    let journal = Journal::start(&[events.collect::<String>()]);
+    let gateway = Gateway::with("127.0.0.1:0", &[engine.row("s-1", "in_service")], Some(&journal), 1024);
+    let last = gateway.log.wait("the last engine", |l| l.contains("is s-1999 at"));
+    assert!(["engine 0 is", "engine 1 is"].iter().any(|index| last.contains(index)), "{last}");
+    assert_eq!(Client::connect(&gateway).ask(&statement("lookup", 1, 5000)), rows(&[["a", "b", "c"]]));
+}
+
+#[test]
+fn a_repeated_event_is_passed_over_and_its_connection_kept() {
+    let (old, new) = (Engine::served(), Engine::served());
+    let third = [old.row("s-1", "terminated"), new.row("s-3", "in_service")];
+    let twice = event(2, false, &[new.row("s-2", "in_service")]).repeat(2);
+    let journal = Journal::start(&[twice + &event(3, false, &third) + &event(2, false, &[])]);
+    let gateway = Gateway::with("127.0.0.1:0", &[old.row("s-1", "in_service")], Some(&journal), 1024);
+    gateway.log.wait("the last engine", |l| l.contains("is s-3 at"));
+    // The stand-in falls silent after its script, and is then asked again; nothing else loses it.
+    let lost = gateway.log.wait("loss", |l| l.contains("lost at"));
+    assert!(lost.ends_with("lost at 3: silent"), "{lost}");
+    journal.tails.wait("the next question", |t| t == "tail 3\n");
+}
+
 #[test]
 fn a_give_up_whose_answer_is_noise_is_repeated_until_it_is_heard() {
     let engine = Engine::start(|call, _| match call.method.as_str() {
--- a/crates/ivypitch-gateway/tests/stand_ins/mod.rs
+++ b/crates/ivypitch-gateway/tests/stand_ins/mod.rs
@@ -59,6 +59,8 @@
     pub path: String,
     pub head: String,
     pub body: String,
+    /// Which of the engine's connections it came on.
+    pub connection: usize,
 }
 
 impl Call {
@@ -102,12 +104,12 @@
         let engine = Engine { address: listener.local_addr().unwrap(), calls: Seen::new() };
         let (calls, reply, count) = (engine.calls.clone(), Arc::new(reply), Arc::new(AtomicUsize::new(0)));
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            for (connection, stream) in listener.incoming().flatten().enumerate() {
                 let (calls, reply, count) = (calls.clone(), reply.clone(), count.clone());
                 thread::spawn(move || {
                     let mut writer = stream.try_clone().unwrap();
                     let mut reader = BufReader::new(stream);
-                    while let Some(call) = read_call(&mut reader) {
+                    while let Some(call) = read_call(&mut reader, connection) {
                         let number = count.fetch_add(1, Ordering::SeqCst);
                         calls.push(call.clone());
                         match reply(&call, number) {
@@ -144,7 +146,7 @@
     }
 }
 
-fn read_call(reader: &mut BufReader<TcpStream>) -> Option<Call> {
+fn read_call(reader: &mut BufReader<TcpStream>, connection: usize) -> Option<Call> {
     let (mut first, mut head) = (String::new(), String::new());
     reader.read_line(&mut first).ok().filter(|&n| n > 0)?;
     while !head.ends_with("\r\n\r\n") && head != "\r\n" {
@@ -152,7 +154,7 @@
     }
     let mut words = first.split(' ');
     let (method, path) = (words.next()?.into(), words.next()?.into());
-    let mut call = Call { method, path, head, body: String::new() };
+    let mut call = Call { method, path, head, body: String::new(), connection };
     let mut body = vec![0; call.header("Content-Length").map_or(0, |n| n.parse().unwrap())];
     reader.read_exact(&mut body).ok()?;
     call.body = String::from_utf8(body).unwrap();
--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -1,10 +1,9 @@
 //! All decisions of one gateway: where a statement runs, when it waits, runs again, is rejected or aborted.
-//! How to call it: [`Gateway::new`] with the deployment's facts and a seed, [`Gateway::start`] once, then one
-//! call for each thing that happens, with the clock's time; it acts through [`Output`] before it returns
-//! (`interface.rs`). No I/O, clock or thread; the same calls with the same seed give the same actions. The
-//! ordinary path is BEMA (`docs/design.md`): `pick` chooses, `send` moves the winner's point. Departures are
-//! in `room`, `has_place`, `ask_first` (bounds under pressure), `cores_left` (bound workloads), `judge`,
-//! `listen` (health) and `noted` (bad plans). `permitted` is the one gate for the seven rules.
+//! [`Gateway::new`] with the deployment's facts and a seed, [`Gateway::start`] once, then one call for each
+//! thing that happens, with its time; it acts through [`Output`] before it returns (`interface.rs`). The same
+//! calls and seed give the same actions. The ordinary path is BEMA (`docs/design.md`): `pick` chooses, `send`
+//! moves the winner's point. Departures: `room`, `has_place`, `ask_first` (bounds under pressure), `cores_left`
+//! (bound workloads), `judge`, `listen` (health), `noted` (bad plans). `permitted` is the gate for the rules.
 
 use crate::interface::*;
 use std::collections::{BTreeMap, VecDeque};
@@ -193,7 +192,7 @@
     /// By index; a place is emptied by `forget_if_over`.
     stmts: Vec<Option<Stmt>>,
     wlms: Vec<WorkloadRow>,
-    /// By index; grows with the engines ever listed.
+    /// By index; one that nothing names is given to another engine.
     engines: Vec<Engine>,
     /// Engine and table group of the own last N sends; the oldest leaves as one comes.
     recent: VecDeque<(EngineIx, u32)>,
@@ -255,10 +254,11 @@
             }
         }
         for row in rows {
-            while self.engines.len() <= row.engine.0 {
-                self.engines.push(Engine { row: *row, best: f64::MAX, ..Engine::default() });
-            }
+            self.engines.resize_with(self.engines.len().max(row.engine.0 + 1), Engine::default);
             let engine = &mut self.engines[row.engine.0];
+            if engine.row.id != row.id || engine.row.engine != row.engine {
+                *engine = Engine { row: *row, best: f64::MAX, ..Engine::default() };
+            }
             if !engine.listed {
                 engine.ema_point = point_of(row.id);
             }
@@ -279,6 +279,13 @@
         self.dispatch(now, out);
     }
 
+    /// Something hangs on this engine; else its index may stand for another.
+    pub fn names(&self, ix: EngineIx) -> bool {
+        let ran_there = |s: &Stmt| s.may_have_run.is_some_and(|(first, _)| first == ix);
+        self.engines.get(ix.0).is_some_and(|e| e.listed || e.out > 0 || e.recent > 0)
+            || self.stmts.iter().flatten().any(ran_there)
+    }
+
     pub fn list_failed(&mut self, _now: Nanos, out: &mut dyn Output) {
         out.wake(MARK_ASK, TRIAL_GAP + (self.chance() * TRIAL_GAP as f64) as Nanos);
     }
@@ -290,8 +297,7 @@
 
     /// A peer tells where a load of its own begins or ends: `load_tag` times two, plus one at its begin.
     pub fn peer_said(&mut self, now: Nanos, bytes: &[u8]) {
-        let Ok(bytes) = <[u8; 4]>::try_from(bytes) else { return };
-        let word = u32::from_le_bytes(bytes);
+        let Ok(word) = bytes.try_into().map(u32::from_le_bytes) else { return };
         self.note_load(now, word >> 1, word & 1 == 1);
     }
 
@@ -324,9 +330,7 @@
         let threads_each = (threads + 1.0) / f64::from(out + 1);
         let engine = &mut self.engines[ix.0];
         let mut busy = false;
-        if !report.is_empty() {
-            engine.asked = None;
-        }
+        engine.asked = engine.asked.filter(|_| report.is_empty());
         for (field, &value) in self.facts.report_fields.iter().zip(report) {
             let value = f64::from(value);
             match field {
@@ -444,9 +448,7 @@
         if stmt.key != 0 {
             self.keys.entry(stmt.key).or_default().line.push_back(ix);
         }
-        if self.stmts.len() <= ix.0 {
-            self.stmts.resize_with(ix.0 + 1, || None);
-        }
+        self.stmts.resize_with(self.stmts.len().max(ix.0 + 1), || None);
         self.stmts[ix.0] = Some(stmt);
         self.in_hand += 1;
         if let Some(budget) = &self.facts.execution_budget {
@@ -506,15 +508,13 @@
             line.rest_until = now + self.facts.key_rest.unwrap_or(0);
         }
         match ended.outcome {
-            Outcome::Completed => {
-                self.learn(now, ix, &execution, ended);
-                self.judge(now, execution.engine, true, out);
-            }
-            Outcome::Error | Outcome::Reset | Outcome::ConnectFailed => {
-                self.judge(now, execution.engine, false, out)
-            }
+            Outcome::Completed => self.learn(now, ix, &execution, ended),
             Outcome::Full => engine.full_until = now + TRIAL_GAP,
-            Outcome::TimedOut | Outcome::Cancelled | Outcome::Moot => {}
+            _ => {}
+        }
+        let completed = ended.outcome == Outcome::Completed;
+        if completed || matches!(ended.outcome, Outcome::Error | Outcome::Reset | Outcome::ConnectFailed) {
+            self.judge(now, execution.engine, completed, out);
         }
         if self.facts.workloads[wlm].is_load {
             self.load_moves(now, execution.engine, group, false, out);
--- a/crates/ivypitch/tests/scenarios.rs
+++ b/crates/ivypitch/tests/scenarios.rs
@@ -5,6 +5,7 @@
 //! WORKLOAD k=v ..`, `end S OUTCOME [report=a,b] [cost=MS]`, `note S share|spills|memory|load [X]`, `under-way S`,
 //! `expire S` and `peer FROM begins|ends ENGINE GROUP` tell; `expect WORDS` takes the first
 //! action that begins so and drops those before it, `never WORDS` forbids it since then, `idle` wants all sums zero.
+//! `names A yes|no` asks whether the module names an engine, `pass A B` gives its index to another.
 //! `answer ENGINE REPORT` answers a probe; `list-many N k=v ..` lists N engines alike, `peer-bytes` sends raw bytes. `fleet N` plays the steps as each of N gateways; `together A B` bounds
 //! their sends in all.
 
@@ -173,6 +174,8 @@
     gateway: Option<Gateway>,
     seen: Seen,
     names: Vec<String>,
+    /// How often an engine's index has passed to another.
+    passed: BTreeMap<usize, u64>,
 }
 
 impl Play {
@@ -224,7 +227,7 @@
                     let engine = self.engine(part[0]);
                     rows.push(EngineRow {
                         engine,
-                        id: engine.0 as u64 * 77 + 5,
+                        id: engine.0 as u64 * 77 + 5 + self.passed.get(&engine.0).copied().unwrap_or(0),
                         zone: f.number("zone", 0.0) as u16,
                         kind: f.number("kind", 0.0) as u16,
                         cell: f.number("cell", 0.0) as u16,
@@ -319,6 +322,15 @@
                 let (gateway, seen) = self.gateway();
                 gateway.probed(now, engine, &report, seen);
             }
+            "names" => {
+                let engine = self.engine(words[1]);
+                assert_eq!(self.gateway().0.names(engine), words[2] == "yes", "{line}");
+            }
+            "pass" => {
+                let engine = self.engine(words[1]);
+                self.seen.engines[engine.0] = words[2].into();
+                *self.passed.entry(engine.0).or_default() += 1;
+            }
             "peer-bytes" => {
                 let bytes: Vec<u8> = words[1].split(',').map(|b| b.parse().unwrap()).collect();
                 self.gateway().0.peer_said(now, &bytes);
@@ -372,7 +384,13 @@
         let fleet = steps.lines().find_map(|l| l.strip_prefix("fleet ")).map_or(1, |n| n.parse().unwrap());
         let mut sends = 0;
         for me in 0..fleet {
-            let mut play = Play { facts: facts(), gateway: None, seen: Seen::default(), names: vec![] };
+            let mut play = Play {
+                facts: facts(),
+                gateway: None,
+                seen: Seen::default(),
+                names: vec![],
+                passed: BTreeMap::new(),
+            };
             play.facts.me = me;
             for (i, line) in steps.lines().enumerate() {
                 let line = line.split('#').next().unwrap_or("").trim();
