A longer queue of new connections; answered sessions make room before newly come ones

Ruled out: CPU, descriptors (706 of 1,024), memory.

At fault: program.rs took the library's listen queue of 128 and let others run after every single accept; session.rs closed a newly come session before one that had its answer and sat idle. Now the queue is 1,024, sixteen are accepted at a time, and past the bound the order is: silent for 0.2 s, answered and idle, newly come. memory/seats.rs holds that.

--- a/crates/ivypitch-gateway/src/actors/engine.rs
+++ b/crates/ivypitch-gateway/src/actors/engine.rs
@@ -17,8 +17,11 @@
 use crate::memory::permits::{Permit, Permits};
 use crate::wire::http::{self, Answer};
 
-/// An engine holds its answer back for 250 ms at most; one that takes twice as long will not come.
-const ANSWER: Duration = Duration::from_millis(500);
+/// An engine holds its news back for 250 ms at most, and answers to all else at once. What takes so much longer is
+/// taken for lost and asked for again, each time with more patience, within the 2 s that an engine waits for that.
+pub const NEWS: Duration = Duration::from_millis(350);
+pub const AT_ONCE: Duration = Duration::from_millis(100);
+const LONGEST: Duration = Duration::from_secs(1);
 /// So many 1xx answers in front of one are passed over.
 const MOST_INFORMATION: usize = 8;
 
@@ -79,13 +82,18 @@
 
     /// One call on the execution's connection, or on a new one where that can't be used any more. It is kept in
     /// `line` only while nothing but whole answers has come on it.
-    pub async fn call(&self, line: &mut Option<Connection>, request: &[u8]) -> Result<Answer, CallFault> {
+    pub async fn call(
+        &self,
+        line: &mut Option<Connection>,
+        request: &[u8],
+        limit: Duration,
+    ) -> Result<Answer, CallFault> {
         let mut connection = match line.take().filter(|kept| kept.rest() == Rest::Quiet) {
             Some(kept) => kept,
             None => self.connect().await?,
         };
         connection.write(request).await?;
-        let answer = connection.answer().await?;
+        let answer = connection.answer(limit.min(LONGEST)).await?;
         match connection.rest() {
             Rest::Quiet if !answer.closes => *line = Some(connection),
             // What follows may be the rest of a result whose length is wrong.
@@ -119,9 +127,9 @@
     }
 
     /// The whole answer, in time.
-    pub async fn answer(&mut self) -> Result<Answer, CallFault> {
+    pub async fn answer(&mut self, limit: Duration) -> Result<Answer, CallFault> {
         let late = async {
-            Timer::after(ANSWER).await;
+            Timer::after(limit).await;
             Err(CallFault::NoAnswer)
         };
         self.next_answer().or(late).await
--- a/crates/ivypitch-gateway/src/actors/execution.rs
+++ b/crates/ivypitch-gateway/src/actors/execution.rs
@@ -9,7 +9,7 @@
 use futures_lite::FutureExt;
 use ivypitch::interface::{Note, Outcome};
 
-use super::engine::{CallFault, Connection, Link};
+use super::engine::{AT_ONCE, CallFault, Connection, Link, NEWS};
 use super::{End, ExecutionKey, ExecutionMail, ModuleMail};
 use crate::memory::rows::Rows;
 use crate::wire::http::{self, Answer, Start};
@@ -73,9 +73,9 @@
             }
             if let Some(priority) = self.priority.take() {
                 let call = http::write_priority(&self.start.id, priority, &link.host());
-                let _ = link.call(&mut None, &call).await;
+                let _ = link.call(&mut None, &call, AT_ONCE).await;
             }
-            answer = match self.ask(link, &mut line, 0).await {
+            answer = match self.ask(link, &mut line, 0, NEWS * (1 + faults)).await {
                 Step::Answered(answer) => Some(answer),
                 Step::Fault(CallFault::Refused) => return bare(Outcome::Reset),
                 Step::Fault(_) => None,
@@ -110,7 +110,7 @@
         *line = Some(connect.or(given_up).await?);
         let call = http::write_start(&self.start, &link.host());
         let wanted = Cell::new(true);
-        let answered = async { Some(link.call(line, &call).await) };
+        let answered = async { Some(link.call(line, &call, NEWS).await) };
         let given_up = async {
             self.given_up().await;
             wanted.set(false);
@@ -127,10 +127,10 @@
     }
 
     /// Asks for the news (0) or for a page.
-    async fn ask(&self, link: &Link, line: &mut Option<Connection>, page: usize) -> Step {
+    async fn ask(&self, link: &Link, line: &mut Option<Connection>, page: usize, limit: Duration) -> Step {
         let call = http::write_get(&self.start.id, page, &link.host());
         let asked = async {
-            match link.call(line, &call).await {
+            match link.call(line, &call, limit).await {
                 Ok(answer) => Step::Answered(answer),
                 Err(fault) => Step::Fault(fault),
             }
@@ -178,7 +178,7 @@
         let mut faults = 0;
         while rows.pages() < count {
             let number = rows.pages();
-            match self.ask(link, line, number).await {
+            match self.ask(link, line, number, AT_ONCE * (1 + faults)).await {
                 Step::Answered(page) if page.status == 500 => return Err(self.ended(&page, None)),
                 Step::Answered(page) if page.page == Some(number) && rows.add(page.body.clone()).is_ok() => {
                     faults = 0
@@ -205,7 +205,7 @@
         let call = http::write_delete(&self.start.id, &link.host());
         let told = async {
             loop {
-                match link.call(&mut None, &call).await {
+                match link.call(&mut None, &call, AT_ONCE).await {
                     Ok(Answer { status: 204 | 500, .. }) | Err(CallFault::Refused) => return,
                     Ok(_) | Err(_) => Timer::after(BREATHER).await,
                 };
--- a/crates/ivypitch-gateway/src/actors/session.rs
+++ b/crates/ivypitch-gateway/src/actors/session.rs
@@ -2,7 +2,6 @@
 //! session's buffers, counts and waits have bounds, and all sessions together have theirs.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::future::Future;
 use std::io;
 use std::net::{Shutdown, TcpStream};
@@ -20,6 +19,7 @@
 use crate::life::bounds::Bounds;
 use crate::life::clock::Clock;
 use crate::memory::rows::{COLUMNS, Rows};
+use crate::memory::seats::{Done, Seats, Standing};
 use crate::wire::fields;
 use crate::wire::mysql::{self, Command, Fault, Packet, Writer};
 
@@ -54,27 +54,6 @@
 const NOT_UNDERSTOOD: u16 = 1064;
 const REJECTED: u16 = 1203;
 
-/// What a session has done, least first.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Done {
-    Connected,
-    LoggedIn,
-    Answered,
-}
-
-/// What the others see of a session.
-struct Standing {
-    done: Cell<Done>,
-    since: Cell<Instant>,
-    /// A command has been taken and not been answered yet.
-    busy: Cell<bool>,
-}
-
-struct Seat {
-    standing: Rc<Standing>,
-    task: Task<()>,
-}
-
 /// All sessions, and the number of the statements taken and not yet answered.
 pub struct Sessions {
     bounds: Bounds,
@@ -83,8 +62,8 @@
     module: Sender<ModuleMail>,
     seed: u64,
     last: Cell<u32>,
-    /// By connection number; a seat is emptied as its session ends or is closed.
-    seats: RefCell<BTreeMap<u32, Seat>>,
+    /// By connection number; a session ends as its task is dropped.
+    seats: RefCell<Seats<Task<()>>>,
     open: Cell<usize>,
     fewer: (Sender<()>, Receiver<()>),
 }
@@ -104,7 +83,7 @@
             module,
             seed,
             last: Cell::new(0),
-            seats: RefCell::default(),
+            seats: RefCell::new(Seats::new(bounds.clients + bounds.told)),
             open: Cell::new(0),
             fewer: async_channel::bounded(1),
         })
@@ -114,24 +93,18 @@
         (self.seats.borrow().len(), self.open.get())
     }
 
-    /// A new session. Past the bound the one is closed that has done least for longest, and has nothing open.
+    /// A new session. Past the bound another is closed for it; where all have statements open, it is itself.
     pub fn admit(self: &Rc<Self>, stream: Async<TcpStream>, executor: &LocalExecutor<'static>) {
+        let now = Instant::now();
         let mut seats = self.seats.borrow_mut();
-        if seats.len() >= self.bounds.clients + self.bounds.told {
-            let idle = seats.iter().filter(|(_, seat)| !seat.standing.busy.get());
-            let least = idle.min_by_key(|(_, seat)| (seat.standing.done.get(), seat.standing.since.get()));
-            let Some(least) = least.map(|(&connection, _)| connection) else { return };
-            seats.remove(&least);
+        if !seats.make_room(now) {
+            return;
         }
         self.last.set(self.last.get().wrapping_add(1));
         let connection = connection_id(self.seed, self.last.get());
-        let standing = Rc::new(Standing {
-            done: Cell::new(Done::Connected),
-            since: Cell::new(Instant::now()),
-            busy: Cell::new(false),
-        });
+        let standing = Standing::new(now);
         let task = executor.spawn(serve(stream, connection, standing.clone(), self.clone()));
-        seats.insert(connection, Seat { standing, task });
+        seats.insert(connection, standing, task);
     }
 
     /// So many statements are open as clients may have. Asked for each statement: a session that came while
@@ -141,7 +114,7 @@
     }
 
     pub async fn all_answered(&self) {
-        while self.seats.borrow().values().any(|seat| seat.standing.busy.get()) {
+        while self.seats.borrow().any_busy() {
             let _ = self.fewer.1.recv().await;
         }
     }
@@ -217,8 +190,8 @@
         session.part(fault).await;
     }
     let _ = session.stream.get_ref().shutdown(Shutdown::Both);
-    if let Some(seat) = sessions.seats.borrow_mut().remove(&connection) {
-        seat.task.detach();
+    if let Some(task) = sessions.seats.borrow_mut().remove(connection) {
+        task.detach();
     }
 }
 
@@ -236,7 +209,7 @@
             Ok(_) => self.writer(self.sequence).ok(),
         }
         self.flush().await?;
-        self.has(Done::LoggedIn);
+        self.standing.has(Done::LoggedIn, Instant::now());
         loop {
             let packet = self.next_packet().await?;
             self.standing.busy.set(true);
@@ -259,11 +232,6 @@
         }
     }
 
-    fn has(&self, done: Done) {
-        self.standing.done.set(done);
-        self.standing.since.set(Instant::now());
-    }
-
     async fn query(&mut self, text: Bytes, sequence: u8, at: u64) -> Result<(), Over> {
         let sessions = self.sessions;
         if let Some(connection) = mysql::kill_query(&text) {
@@ -304,7 +272,7 @@
                 return Err(over);
             }
         };
-        self.has(Done::Answered);
+        self.standing.has(Done::Answered, Instant::now());
         match answer {
             Answer::Completed(rows) => return self.result(rows, sequence).await,
             Answer::Rejected { come_back: 0 } => {
@@ -378,7 +346,7 @@
                 begun.get_or_insert_with(Instant::now);
             }
             let until = match (self.standing.done.get(), begun) {
-                (Done::Connected | Done::LoggedIn, _) => self.connected_at + FIRST_COMMAND,
+                (Done::Nothing | Done::LoggedIn, _) => self.connected_at + FIRST_COMMAND,
                 (Done::Answered, Some(begun)) => begun + REST_OF_MESSAGE,
                 (Done::Answered, None) => idle_since + IDLE,
             };
--- a/crates/ivypitch-gateway/src/life/program.rs
+++ b/crates/ivypitch-gateway/src/life/program.rs
@@ -25,6 +25,10 @@
 const OVERLAP: Duration = Duration::from_millis(700);
 /// SIGKILL comes no sooner than so long after SIGTERM: the longest statement timeout, 3 s at most, and 0.7 s.
 const KILL_WAITS_AT_MOST: Nanos = 3_000_000_000;
+/// Connections that the system holds until they are accepted: a second of a busy day's new ones.
+const BACKLOG: i32 = 1024;
+/// So many are accepted before what came with them is read.
+const ACCEPTED_AT_ONCE: usize = 16;
 /// Left for the last answers to be written.
 const LAST_ANSWERS: Nanos = 150_000_000;
 
@@ -75,6 +79,8 @@
     pub fn start(configuration: Configuration, clock: Clock, signals: Signals) -> Result<Program, String> {
         let Configuration { path, name, listen, seed, bounds, journal, known, mut given } = configuration;
         let listener = Async::<TcpListener>::bind(listen).map_err(|e| format!("listen on {listen}: {e}"))?;
+        // The library asks for 128, which a burst of new connections overflows within 0.1 s.
+        rustix::net::listen(listener.get_ref(), BACKLOG).map_err(|e| format!("listen on {listen}: {e}"))?;
         let listen = listener.get_ref().local_addr().map_err(|e| e.to_string())?;
         let executor = Rc::new(LocalExecutor::new());
         let (module, mailbox) = async_channel::unbounded();
@@ -189,14 +195,17 @@
     executor: Rc<LocalExecutor<'static>>,
 ) {
     let mut well = true;
+    let mut accepted = 0;
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
                 let _ = stream.get_ref().set_nodelay(true);
                 sessions.admit(stream, &executor);
                 well = true;
-                // What has come with it is read before the next is let in.
-                yield_now().await;
+                accepted += 1;
+                if accepted % ACCEPTED_AT_ONCE == 0 {
+                    yield_now().await;
+                }
             }
             Err(e) => {
                 // Descriptors or memory are short for a moment, or the client has gone already.
--- a/crates/ivypitch-gateway/src/memory/mod.rs
+++ b/crates/ivypitch-gateway/src/memory/mod.rs
@@ -3,4 +3,5 @@
 pub mod engines;
 pub mod permits;
 pub mod rows;
+pub mod seats;
 pub mod statements;
--- a/crates/ivypitch-gateway/tests/wire.rs
+++ b/crates/ivypitch-gateway/tests/wire.rs
@@ -2,6 +2,7 @@
 
 use bytes::{Bytes, BytesMut};
 use ivypitch_gateway::memory::rows::Rows;
+use ivypitch_gateway::memory::seats::{Done, Seats, Standing};
 use ivypitch_gateway::wire::fields::{self, table_group};
 use ivypitch_gateway::wire::http::{self, Answer, Start};
 use ivypitch_gateway::wire::journal::{Line, read_line};
@@ -173,3 +174,27 @@
     assert_eq!(read_line(b"41\n"), Ok(Line::Last(41)));
     assert!(read_line(b"4x\n").is_err() && read_line(b"{\"pos\"").is_err() && read_line(b"").is_err());
 }
+
+/// Four seats, each with what was done and for how long; who is closed for a fifth.
+#[test_case([(Done::Nothing, 900), (Done::Nothing, 950), (Done::Answered, 4000), (Done::LoggedIn, 10)], Some(1); "the longest silent")]
+#[test_case([(Done::LoggedIn, 900), (Done::Nothing, 100), (Done::Answered, 4000), (Done::Nothing, 0)], Some(0); "silent after its login")]
+#[test_case([(Done::Nothing, 100), (Done::Answered, 5), (Done::Answered, 6), (Done::LoggedIn, 90)], Some(2); "answered before newly come")]
+#[test_case([(Done::Nothing, 100), (Done::Nothing, 50), (Done::LoggedIn, 150), (Done::LoggedIn, 60)], Some(2); "all newly come")]
+fn the_seat_is_emptied_whose_session_loses_least(seats: [(Done, u64); 4], closed: Option<u32>) {
+    let now = std::time::Instant::now() + std::time::Duration::from_secs(10);
+    let mut all = Seats::new(4);
+    let mut standings = Vec::new();
+    for (connection, (done, ms)) in (0..).zip(seats) {
+        assert!(all.make_room(now));
+        let standing = Standing::new(now);
+        standing.has(done, now - std::time::Duration::from_millis(ms));
+        standings.push(standing.clone());
+        all.insert(connection, standing, ());
+    }
+    assert!(all.make_room(now));
+    assert_eq!((0..4).find(|&connection| all.remove(connection).is_none()), closed);
+    let mut busy = Seats::new(1);
+    standings[0].busy.set(true);
+    busy.insert(0, standings[0].clone(), ());
+    assert!(!busy.make_room(now), "all have something open");
+}
