Teams: a deciding crate for budgets, fair queues, ageing, pre-emption and honest waits

One business unit's flood reaches the module in the order of arrival today, so the others wait behind it.

ivypitch-teams decides, without I/O or clock, which team's statement goes on next: start-time fair queueing by share across teams, by due time within a team, budgets of work with correction by what statements really cost, a window of threads, estimates of waits from the measured pace, rejections with a spread time to come back.

--- /dev/null
+++ b/crates/ivypitch-teams/src/teams.rs
@@ -0,0 +1,933 @@
+//! The hub: what comes in, waits, goes on to the decision module, is pushed out or turned away.
+//!
+//! Across teams: start-time fair queueing in virtual time, by share. Within a team: the workload whose first
+//! statement is due first, where due is its coming and the workload's slack; so age decides in the end.
+
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+use ivypitch::interface::{Nanos, StmtIx};
+
+use crate::budgets::{Bucket, Budgets};
+use crate::lane::Lane;
+use crate::ranks::Ranks;
+use crate::waits::{Pace, Rate, Record, Wait};
+use crate::wheel::{Handle, Wheel};
+use crate::window::Window;
+
+/// A team that lent its share gets back in beyond the window, up to its own part of it and this part in all.
+const OVER_WINDOW: f64 = 1.25;
+/// A lane that preempts goes first in so many of so many releases; the others' first one goes in between.
+const URGENT_IN_A_ROW: u8 = 3;
+/// A preempting statement pushes out so many waiting ones at most: each was paid for by its own arrival.
+const MOST_PUSHED_OUT: usize = 8;
+/// Smoothing of the ratio of true to told work, and the evidence that the told one counts at first.
+const RATIO_KEEP: f64 = 0.95;
+/// Time to come back: at least this, and spread up to so many times itself.
+const SOONEST_BACK: Nanos = 20_000_000;
+const SPREAD_BACK: f64 = 0.5;
+/// A statement is taken into line where its estimate is within this part of the longest wait, so that few of those
+/// taken in have to be sent away after all.
+const ADMIT_PART: f64 = 0.8;
+/// What has so little of its time left can't be met once released.
+const LAST_PART: u64 = 8;
+/// What was measured of a team's pace holds so long after it last had something waiting.
+const PACE_HOLDS: Nanos = 2_000_000_000;
+/// A mode of the log is over after so long without its sign.
+const CALM_AFTER: Nanos = 5_000_000_000;
+/// Virtual time counts work over share; a share of 1 alone moves it as fast as work.
+const LEAST_SHARE: f64 = 1e-6;
+
+/// A statement as it comes to the queues.
+#[derive(Clone, Copy, Debug)]
+pub struct Claim {
+    pub team: usize,
+    pub workload: usize,
+    /// Work of all its threads as its client tells it; 0: not told.
+    pub told_work: Nanos,
+    pub bytes: usize,
+    pub deadline: Nanos,
+}
+
+pub trait Output {
+    /// It goes to the decision module now.
+    fn release(&mut self, stmt: StmtIx);
+    /// Final: it never left the queue, so trying again is harmless, after `come_back` where that is above 0. The
+    /// index may be given to another.
+    fn reject(&mut self, stmt: StmtIx, come_back: Nanos);
+    /// A change of mode: of a team, or of all.
+    fn mode(&mut self, team: Option<usize>, line: &str);
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Place {
+    /// Told of, not yet in line.
+    Coming,
+    Queued,
+    /// Gone on to the module within its team's own part of the window.
+    Released,
+    /// The same on room that other teams leave idle.
+    Lent,
+    /// Answered, left or rejected: its ticket is dropped.
+    Over,
+}
+
+struct Ticket {
+    team: u32,
+    workload: u16,
+    place: Place,
+    /// In its lane while it is queued.
+    number: u64,
+    came: Nanos,
+    deadline: Nanos,
+    /// What is charged for it, and what its client told.
+    work: u64,
+    told: u64,
+    bytes: usize,
+    timer: Option<Handle>,
+    /// What it was told of its wait; 0: it did not queue.
+    told_wait: Nanos,
+}
+
+#[derive(Clone, Copy)]
+enum Due {
+    /// A queued statement has waited as long as it may.
+    Waited(StmtIx),
+    /// A team's budget of work holds something again.
+    Filled(u32),
+}
+
+/// Sums of true and told work, fading by statement.
+#[derive(Clone, Copy)]
+struct Learned {
+    real: f64,
+    told: f64,
+    usual: f64,
+}
+
+struct Row {
+    lanes: Vec<Lane>,
+    /// Threads released, by workload.
+    out_in: Vec<f64>,
+    out: f64,
+    learned: Vec<Learned>,
+    coming: Vec<Rate>,
+    /// Virtual start of its next statement.
+    tag: u64,
+    last_charge: u64,
+    bucket: Bucket,
+    filling: Option<Handle>,
+    queued: usize,
+    bytes: usize,
+    /// Work that waits.
+    work: u64,
+    /// Releases since another lane than the urgent one had its turn.
+    urgent: u8,
+    urgent_lane: Option<usize>,
+    /// What it really used, in core-seconds, since the start.
+    used: f64,
+    /// The last time that one of its refused was told to come back.
+    appointment: Nanos,
+    /// How fast it is served while it has something waiting.
+    pace: Pace,
+    paced_at: Nanos,
+    refusing_since: Option<Nanos>,
+    refused_at: Nanos,
+    refused: u64,
+}
+
+/// One row of what a client may ask to see.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Queued {
+    pub stmt: StmtIx,
+    pub team: usize,
+    pub workload: usize,
+    /// Of its workload's line in its team; the next to go is 1.
+    pub position: u64,
+    pub wait: Wait,
+    pub age: Nanos,
+}
+
+pub struct Teams {
+    budgets: Budgets,
+    /// By statement index; emptied as the statement is over.
+    tickets: Vec<Option<Ticket>>,
+    /// By team index; as many as the deployment has customers.
+    rows: Vec<Row>,
+    ranks: Ranks,
+    /// Teams with something queued, the one with most for its share first.
+    fullest: Ranks,
+    /// Held back by their own bounds on what is released; looked at again as one of theirs is over.
+    wheel: Wheel<Due>,
+    window: Window,
+    out: f64,
+    queued: usize,
+    bytes: usize,
+    virtual_now: u64,
+    farthest_tag: u64,
+    shares: f64,
+    pace: Pace,
+    paced_at: Nanos,
+    paced_tag: u64,
+    /// Somebody waited for room when last looked at.
+    contended: bool,
+    record: Record,
+    seed: u64,
+    chances: u64,
+    /// Queueing since, or not; and when somebody last waited.
+    queueing: Option<Nanos>,
+    waited_at: Nanos,
+    /// The program ends.
+    ending: bool,
+}
+
+impl Teams {
+    pub fn new(budgets: Budgets, seed: u64, now: Nanos) -> Teams {
+        let widest = budgets.workloads.iter().map(|w| w.threads).fold(1.0, f64::max);
+        let mut teams = Teams {
+            tickets: Vec::new(),
+            rows: Vec::new(),
+            ranks: Ranks::default(),
+            fullest: Ranks::default(),
+            wheel: Wheel::new(now),
+            window: Window::new(budgets.window, widest),
+            out: 0.0,
+            queued: 0,
+            bytes: 0,
+            virtual_now: 0,
+            farthest_tag: 0,
+            shares: 0.0,
+            pace: Pace::default(),
+            paced_at: now,
+            paced_tag: 0,
+            contended: false,
+            record: Record::default(),
+            seed,
+            chances: 0,
+            queueing: None,
+            waited_at: now,
+            ending: false,
+            budgets,
+        };
+        teams.have_rows(teams.budgets.teams.len(), now);
+        teams
+    }
+
+    // ---- what happens ----
+
+    /// The cores of the engines that are ready, this gateway's share of them.
+    pub fn capacity(&mut self, now: Nanos, cores: f64, out: &mut dyn Output) {
+        self.window.set_cores(cores);
+        self.dispatch(now, out);
+    }
+
+    pub fn arrive(&mut self, now: Nanos, ix: StmtIx, claim: Claim, out: &mut dyn Output) {
+        self.have_rows(claim.team + 1, now);
+        let workload = claim.workload.min(self.budgets.workloads.len() - 1);
+        let work = self.charge(claim.team, workload, claim.told_work);
+        let ticket = Ticket {
+            team: claim.team as u32,
+            workload: workload as u16,
+            place: Place::Coming,
+            number: 0,
+            came: now,
+            deadline: claim.deadline,
+            work,
+            told: claim.told_work,
+            bytes: claim.bytes,
+            timer: None,
+            told_wait: 0,
+        };
+        if self.tickets.len() <= ix.0 {
+            self.tickets.resize_with(ix.0 + 1, || None);
+        }
+        self.tickets[ix.0] = Some(ticket);
+        self.rows[claim.team].coming[workload].add(now, work as f64 / 1e9);
+        self.turn(now, ix, Place::Queued);
+        self.dispatch(now, out);
+        if self.is_queued(ix) {
+            self.keep_or_reject(now, ix, out);
+        }
+    }
+
+    /// It did not go at once: it may stay where bounds and its time allow.
+    fn keep_or_reject(&mut self, now: Nanos, ix: StmtIx, out: &mut dyn Output) {
+        if !self.within_bounds(ix) && !self.push_out_for(now, ix, out) {
+            return self.reject(now, ix, out);
+        }
+        let Some(ticket) = &self.tickets[ix.0] else { return };
+        let (team, workload) = (ticket.team as usize, usize::from(ticket.workload));
+        let until = self.may_wait_until(ticket);
+        let mut wait = self.wait(now, ix);
+        let told_until = now + ((until.saturating_sub(now)) as f64 * ADMIT_PART) as Nanos;
+        if now.saturating_add(wait) > told_until && self.preempts(workload) {
+            // Its lane goes ahead of what matters less; that goes back in line.
+            self.rows[team].urgent_lane = Some(workload);
+            wait = self.wait(now, ix);
+        }
+        if now.saturating_add(wait) > told_until {
+            return self.reject(now, ix, out);
+        }
+        let timer = self.wheel.set(until, Due::Waited(ix));
+        if let Some(ticket) = &mut self.tickets[ix.0] {
+            ticket.told_wait = wait.max(1);
+            ticket.timer = Some(timer);
+        }
+        self.waited_at = now;
+        if self.queueing.is_none() {
+            self.queueing = Some(now);
+            let line = format!(
+                "Direct -> Queueing: {:.1} of {:.1} threads out, {} waiting",
+                self.out,
+                self.window.threads(),
+                self.queued
+            );
+            out.mode(None, &line);
+        }
+    }
+
+    /// Its client has gone or has killed it. False: it is no longer in the queues.
+    pub fn leave(&mut self, now: Nanos, ix: StmtIx, out: &mut dyn Output) -> bool {
+        if !self.is_queued(ix) {
+            return false;
+        }
+        self.turn(now, ix, Place::Over);
+        self.dispatch(now, out);
+        true
+    }
+
+    /// A released statement is over: answered, and no execution of it is out. `real` is its work where answers tell
+    /// it, else threads times time on engines; `None`: it never ran. `took` is the time of its good execution.
+    pub fn over(
+        &mut self,
+        now: Nanos,
+        ix: StmtIx,
+        real: Option<Nanos>,
+        took: Option<Nanos>,
+        out: &mut dyn Output,
+    ) {
+        let Some(ticket) = self.tickets.get(ix.0).and_then(Option::as_ref) else { return };
+        if !matches!(ticket.place, Place::Released | Place::Lent) {
+            return;
+        }
+        let (team, workload, charged) = (ticket.team as usize, usize::from(ticket.workload), ticket.work);
+        let told = ticket.told;
+        let threads = self.budgets.workloads[workload].threads.max(1.0);
+        self.turn(now, ix, Place::Over);
+        self.settle(now, team, charged, real.unwrap_or(0));
+        if let Some(real) = real {
+            self.learn(team, workload, told, real);
+            if let Some(took) = took {
+                self.window.ended(now, took, (real as f64 / threads) as Nanos);
+            }
+        }
+        self.rank(team);
+        self.dispatch(now, out);
+    }
+
+    /// New budgets. What waits stays; bounds that it is now over only keep out what comes.
+    pub fn reload(&mut self, now: Nanos, budgets: Budgets, out: &mut dyn Output) {
+        let widest = budgets.workloads.iter().map(|w| w.threads).fold(1.0, f64::max);
+        self.window.set_way(budgets.window, widest);
+        self.budgets = budgets;
+        self.have_rows(self.budgets.teams.len(), now);
+        for team in 0..self.rows.len() {
+            let budget = self.budgets.team(team);
+            self.rows[team].bucket.fill(budget, now);
+            let row = &mut self.rows[team];
+            if let Some(timer) = row.filling.take() {
+                self.wheel.remove(timer);
+            }
+            self.rank(team);
+        }
+        self.count_shares();
+        self.dispatch(now, out);
+    }
+
+    /// The program ends: what can't be met by then is rejected now.
+    pub fn ending(&mut self, now: Nanos, by: Nanos, out: &mut dyn Output) {
+        self.ending = true;
+        let queued: Vec<StmtIx> =
+            (0..self.tickets.len()).map(StmtIx).filter(|&ix| self.is_queued(ix)).collect();
+        for ix in queued {
+            let Some(ticket) = &mut self.tickets[ix.0] else { continue };
+            ticket.deadline = ticket.deadline.min(by);
+            let until = self.tickets[ix.0].as_ref().map_or(0, |ticket| self.may_wait_until(ticket));
+            if now.saturating_add(self.wait(now, ix)) > until {
+                self.reject(now, ix, out);
+            } else {
+                self.time(ix, until);
+            }
+        }
+        self.dispatch(now, out);
+    }
+
+    pub fn woken(&mut self, now: Nanos, out: &mut dyn Output) {
+        while let Some(due) = self.wheel.pop(now) {
+            match due {
+                Due::Waited(ix) => {
+                    if let Some(ticket) = &mut self.tickets[ix.0] {
+                        ticket.timer = None;
+                        self.reject(now, ix, out);
+                    }
+                }
+                Due::Filled(team) => {
+                    self.rows[team as usize].filling = None;
+                    self.rank(team as usize);
+                }
+            }
+        }
+        self.dispatch(now, out);
+    }
+
+    /// When [`Teams::woken`] is wanted at the latest.
+    pub fn next_wake(&self) -> Option<Nanos> {
+        self.wheel.next()
+    }
+
+    // ---- what can be seen ----
+
+    pub fn is_queued(&self, ix: StmtIx) -> bool {
+        self.tickets.get(ix.0).and_then(Option::as_ref).is_some_and(|t| t.place == Place::Queued)
+    }
+
+    pub fn queued(&self) -> usize {
+        self.queued
+    }
+
+    pub fn threads_out(&self) -> f64 {
+        self.out
+    }
+
+    pub fn window_threads(&self) -> f64 {
+        self.window.threads()
+    }
+
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// Core-seconds that a team really used since the start.
+    pub fn used(&self, team: usize) -> f64 {
+        self.rows.get(team).map_or(0.0, |row| row.used)
+    }
+
+    /// Bytes held for what waits, its text not counted.
+    pub fn bytes_held(&self) -> usize {
+        let lanes: usize = self.rows.iter().flat_map(|row| &row.lanes).map(Lane::bytes).sum();
+        lanes + self.tickets.capacity() * size_of::<Option<Ticket>>()
+    }
+
+    pub fn queued_row(&self, now: Nanos, ix: StmtIx) -> Option<Queued> {
+        let ticket = self.tickets.get(ix.0)?.as_ref().filter(|t| t.place == Place::Queued)?;
+        let (team, workload) = (ticket.team as usize, usize::from(ticket.workload));
+        Some(Queued {
+            stmt: ix,
+            team,
+            workload,
+            position: self.rows[team].lanes[workload].ahead_of(ticket.number).count + 1,
+            wait: self.record.wait(self.wait(now, ix)),
+            age: now.saturating_sub(ticket.came),
+        })
+    }
+
+    /// What waits, line by line, `most` rows at most.
+    pub fn queued_rows(&self, now: Nanos, most: usize) -> Vec<Queued> {
+        let lanes = self.rows.iter().flat_map(|row| &row.lanes);
+        let waiting = lanes.flat_map(|lane| lane.iter().map(|(ix, _)| ix));
+        waiting.take(most).filter_map(|ix| self.queued_row(now, ix)).collect()
+    }
+
+    // ---- the order ----
+
+    /// Releases while there is room.
+    fn dispatch(&mut self, now: Nanos, out: &mut dyn Output) {
+        self.keep_pace(now);
+        while let Some(team) = self.ranks.first() {
+            let budget = self.budgets.team(team);
+            let row = &mut self.rows[team];
+            row.bucket.fill(budget, now);
+            let empty_for = row.bucket.wait(budget);
+            if empty_for > 0 {
+                self.ranks.remove(team);
+                if row.filling.is_none() {
+                    row.filling = Some(self.wheel.set(now + empty_for, Due::Filled(team as u32)));
+                }
+                continue;
+            }
+            let Some(workload) = self.next_lane(team) else {
+                // Its own bounds on what is released hold it back: ranked again as one of its own is over.
+                self.ranks.remove(team);
+                continue;
+            };
+            let threads = self.budgets.workloads[workload].threads.max(1.0);
+            if self.out + threads > self.window.threads() + 1e-9 {
+                self.window.was_full();
+                let own = self.part(team);
+                let called_back = self.rows[team].out + threads <= own
+                    && self.out + threads <= self.window.threads() * OVER_WINDOW;
+                if !called_back {
+                    break;
+                }
+            }
+            let Some((ix, _, _)) = self.rows[team].lanes[workload].front() else { break };
+            self.release(now, ix, team, workload, threads, out);
+        }
+        self.contended = self.ranks.first().is_some_and(|team| self.budgets.team(team).share > 0.0);
+        if self.queued == 0 && self.queueing.is_some() && now >= self.waited_at + CALM_AFTER {
+            let since = self.queueing.take().unwrap_or(now);
+            let line = format!("Queueing -> Direct: after {:.1} s", (now - since) as f64 / 1e9);
+            out.mode(None, &line);
+        }
+    }
+
+    fn release(
+        &mut self,
+        now: Nanos,
+        ix: StmtIx,
+        team: usize,
+        workload: usize,
+        threads: f64,
+        out: &mut dyn Output,
+    ) {
+        let own = self.rows[team].out + threads <= self.part(team);
+        let Some(ticket) = &self.tickets[ix.0] else { return };
+        let (work, told_wait, came) = (ticket.work, ticket.told_wait, ticket.came);
+        if told_wait > 0 {
+            self.record.released(told_wait, now.saturating_sub(came));
+        }
+        let share = self.budgets.team(team).share;
+        if share > 0.0 {
+            self.virtual_now = self.virtual_now.max(self.rows[team].tag);
+        }
+        let row = &mut self.rows[team];
+        row.tag = row.tag.saturating_add(span(work, share));
+        if share > 0.0 {
+            self.farthest_tag = self.farthest_tag.max(row.tag);
+        }
+        row.last_charge = work;
+        row.bucket.take(work as f64 / 1e9);
+        if told_wait > 0 {
+            row.pace.went_on(work as f64, now.saturating_sub(row.paced_at));
+            row.paced_at = now;
+        }
+        match row.urgent_lane {
+            Some(urgent) if urgent == workload => row.urgent += 1,
+            _ => row.urgent = 0,
+        }
+        self.turn(now, ix, if own { Place::Released } else { Place::Lent });
+        out.release(ix);
+    }
+
+    /// The workload of a team whose turn it is; none where its bounds on what is released hold all back.
+    fn next_lane(&self, team: usize) -> Option<usize> {
+        let (row, budget) = (&self.rows[team], self.budgets.team(team));
+        let may_go = |workload: usize| {
+            let threads = self.budgets.workloads[workload].threads.max(1.0);
+            // One is always let through where nothing is out: a bound below its threads would hold it for good.
+            let within = |out: f64, most: f64| most > 0.0 && (out <= 0.0 || out + threads <= most);
+            within(row.out, budget.most_released)
+                && within(row.out_in[workload], budget.most_released_in(workload))
+        };
+        let filled = (0..row.lanes.len()).filter(|&w| !row.lanes[w].is_empty() && may_go(w));
+        let due = |w: usize| {
+            let came = row.lanes[w].front().map_or(Nanos::MAX, |(_, _, came)| came);
+            came.saturating_add(self.budgets.workloads[w].slack)
+        };
+        let urgent = row.urgent_lane.filter(|&w| !row.lanes[w].is_empty() && may_go(w));
+        match urgent {
+            Some(lane) if row.urgent < URGENT_IN_A_ROW => Some(lane),
+            Some(lane) => filled.clone().filter(|&w| w != lane).min_by_key(|&w| due(w)).or(Some(lane)),
+            None => filled.min_by_key(|&w| due(w)),
+        }
+    }
+
+    /// A team's own part of the window.
+    fn part(&self, team: usize) -> f64 {
+        let share = self.budgets.team(team).share;
+        if self.shares <= 0.0 { 0.0 } else { self.window.threads() * share / self.shares }
+    }
+
+    /// Ranks a team by what it has waiting, or takes it out.
+    fn rank(&mut self, team: usize) {
+        let row = &mut self.rows[team];
+        let share = self.budgets.team(team).share;
+        if row.queued == 0 {
+            self.ranks.remove(team);
+            self.fullest.remove(team);
+            row.urgent_lane = None;
+            return;
+        }
+        let fullness = span(row.work, share);
+        self.fullest.set(team, (0, u64::MAX - fullness));
+        if row.filling.is_none() {
+            self.ranks.set(team, (u8::from(share <= 0.0), row.tag));
+        }
+    }
+
+    /// The one function that changes a statement's place.
+    fn turn(&mut self, now: Nanos, ix: StmtIx, to: Place) {
+        let Some(ticket) = &mut self.tickets[ix.0] else { return };
+        let from = ticket.place;
+        ticket.place = to;
+        let (team, workload) = (ticket.team as usize, usize::from(ticket.workload));
+        let (work, bytes, number) = (ticket.work, ticket.bytes, ticket.number);
+        let threads = self.budgets.workloads[workload].threads.max(1.0);
+        let timer = if to == Place::Queued { None } else { ticket.timer.take() };
+        if let Some(timer) = timer {
+            self.wheel.remove(timer);
+        }
+        let row = &mut self.rows[team];
+        match from {
+            Place::Queued => {
+                row.lanes[workload].remove(number);
+                row.queued -= 1;
+                row.bytes -= bytes;
+                row.work -= work;
+                self.queued -= 1;
+                self.bytes -= bytes;
+            }
+            Place::Released | Place::Lent => {
+                row.out -= threads;
+                row.out_in[workload] -= threads;
+                self.out -= threads;
+            }
+            Place::Coming | Place::Over => {}
+        }
+        match to {
+            Place::Queued => {
+                let tickets = &mut self.tickets;
+                let number = row.lanes[workload].push(ix, now, work, |moved, number| {
+                    if let Some(ticket) = &mut tickets[moved.0] {
+                        ticket.number = number;
+                    }
+                });
+                if let Some(ticket) = &mut self.tickets[ix.0] {
+                    ticket.number = number;
+                }
+                if row.queued == 0 {
+                    if self.ranks.is_empty() && self.out <= 0.0 {
+                        // Nobody is served or waits: what was used before is over.
+                        self.virtual_now = self.virtual_now.max(self.farthest_tag);
+                    }
+                    row.tag = row.tag.max(self.virtual_now);
+                    row.urgent = 0;
+                    if now > row.paced_at + PACE_HOLDS {
+                        row.pace = Pace::default();
+                    }
+                    row.paced_at = now;
+                }
+                row.queued += 1;
+                row.bytes += bytes;
+                row.work += work;
+                self.queued += 1;
+                self.bytes += bytes;
+            }
+            Place::Released | Place::Lent => {
+                row.out += threads;
+                row.out_in[workload] += threads;
+                self.out += threads;
+            }
+            Place::Over => self.tickets[ix.0] = None,
+            Place::Coming => {}
+        }
+        self.rank(team);
+    }
+
+    // ---- budgets ----
+
+    fn have_rows(&mut self, count: usize, now: Nanos) {
+        let workloads = &self.budgets.workloads;
+        while self.rows.len() < count {
+            let budget = self.budgets.team(self.rows.len());
+            self.rows.push(Row {
+                lanes: workloads.iter().map(|_| Lane::default()).collect(),
+                out_in: vec![0.0; workloads.len()],
+                out: 0.0,
+                learned: workloads
+                    .iter()
+                    .map(|w| {
+                        let usual = w.usual_work.max(1) as f64;
+                        Learned { real: usual, told: usual, usual }
+                    })
+                    .collect(),
+                coming: vec![Rate::default(); workloads.len()],
+                tag: self.virtual_now,
+                last_charge: 0,
+                bucket: Bucket::new(budget, now),
+                filling: None,
+                queued: 0,
+                bytes: 0,
+                work: 0,
+                urgent: 0,
+                urgent_lane: None,
+                used: 0.0,
+                appointment: 0,
+                pace: Pace::default(),
+                paced_at: now,
+                refusing_since: None,
+                refused_at: 0,
+                refused: 0,
+            });
+        }
+        self.count_shares();
+    }
+
+    fn count_shares(&mut self) {
+        self.shares = (0..self.rows.len()).map(|team| self.budgets.team(team).share).sum();
+    }
+
+    /// What a statement is charged: its estimate, as its team's estimates of that workload have proved, or the
+    /// usual. So a team whose estimates are too low gains only until its first few statements are over.
+    fn charge(&self, team: usize, workload: usize, told: Nanos) -> u64 {
+        let learned = &self.rows[team].learned[workload];
+        let work = if told == 0 { learned.usual } else { told as f64 * learned.real / learned.told.max(1.0) };
+        (work as u64).max(1)
+    }
+
+    fn learn(&mut self, team: usize, workload: usize, told: u64, real: u64) {
+        let learned = &mut self.rows[team].learned[workload];
+        learned.usual += (1.0 - RATIO_KEEP) * (real as f64 - learned.usual);
+        if told > 0 {
+            learned.real = learned.real * RATIO_KEEP + real as f64;
+            learned.told = learned.told * RATIO_KEEP + told as f64;
+        }
+    }
+
+    /// Sets what was charged right by what it really was, in virtual time and in the budget.
+    fn settle(&mut self, now: Nanos, team: usize, charged: u64, real: u64) {
+        let share = self.budgets.team(team).share;
+        let row = &mut self.rows[team];
+        row.used += real as f64 / 1e9;
+        row.tag = row.tag.saturating_sub(span(charged, share)).saturating_add(span(real, share));
+        if share > 0.0 {
+            self.farthest_tag = self.farthest_tag.max(row.tag);
+        }
+        row.bucket.fill(self.budgets.team(team), now);
+        row.bucket.take(real as f64 / 1e9 - charged as f64 / 1e9);
+        if let Some(filling) = row.filling.take() {
+            // The time at which it holds something again has moved.
+            self.wheel.remove(filling);
+        }
+    }
+
+    fn within_bounds(&self, ix: StmtIx) -> bool {
+        let Some(ticket) = &self.tickets[ix.0] else { return false };
+        let (team, workload) = (ticket.team as usize, usize::from(ticket.workload));
+        self.team_within(team, workload) && self.all_within()
+    }
+
+    fn team_within(&self, team: usize, workload: usize) -> bool {
+        let (row, budget) = (&self.rows[team], self.budgets.team(team));
+        row.queued <= budget.most_queued
+            && row.bytes <= budget.most_queued_bytes
+            && row.lanes[workload].len() <= budget.most_queued_in(workload)
+    }
+
+    fn all_within(&self) -> bool {
+        self.queued <= self.budgets.most_queued && self.bytes <= self.budgets.most_queued_bytes
+    }
+
+    // ---- pre-emption ----
+
+    fn preempts(&self, workload: usize) -> bool {
+        self.budgets.workloads[workload].importance >= self.budgets.preempts_from
+    }
+
+    /// Makes room for one that is over a bound: by what matters less in its own team, where that is over its own
+    /// bounds, else by the team that has most waiting for its share. Only what was never released is touched.
+    fn push_out_for(&mut self, now: Nanos, ix: StmtIx, out: &mut dyn Output) -> bool {
+        let Some(ticket) = &self.tickets[ix.0] else { return false };
+        let (team, workload) = (ticket.team as usize, usize::from(ticket.workload));
+        for _ in 0..MOST_PUSHED_OUT {
+            if self.within_bounds(ix) {
+                return true;
+            }
+            let victim = if !self.team_within(team, workload) {
+                if self.rows[team].lanes[workload].len() > self.budgets.team(team).most_queued_in(workload) {
+                    return false;
+                }
+                self.preempts(workload).then(|| self.least_waiting(team, workload)).flatten()
+            } else {
+                self.fullest.first().and_then(|fullest| {
+                    if fullest == team {
+                        self.preempts(workload).then(|| self.least_waiting(team, workload)).flatten()
+                    } else {
+                        self.newest_of_fullest(fullest, team)
+                    }
+                })
+            };
+            match victim {
+                Some(victim) if victim != ix => self.reject(now, victim, out),
+                _ => return false,
+            }
+        }
+        self.within_bounds(ix)
+    }
+
+    /// The newest waiting statement of the least important workload below this one's, loads left alone.
+    fn least_waiting(&self, team: usize, workload: usize) -> Option<StmtIx> {
+        let terms = &self.budgets.workloads;
+        let lanes = (0..terms.len()).filter(|&w| {
+            !terms[w].is_load
+                && terms[w].importance < terms[workload].importance
+                && !self.rows[team].lanes[w].is_empty()
+        });
+        let least = lanes.min_by(|&a, &b| terms[a].importance.total_cmp(&terms[b].importance))?;
+        self.rows[team].lanes[least].back().map(|(ix, _)| ix)
+    }
+
+    /// Where another team has more waiting for its share than this one, its newest: no load, the least important.
+    fn newest_of_fullest(&self, fullest: usize, team: usize) -> Option<StmtIx> {
+        let load = |t: usize| span(self.rows[t].work, self.budgets.team(t).share);
+        if load(fullest) <= load(team) {
+            return None;
+        }
+        let terms = &self.budgets.workloads;
+        let lanes =
+            (0..terms.len()).filter(|&w| !terms[w].is_load && !self.rows[fullest].lanes[w].is_empty());
+        let least = lanes.min_by(|&a, &b| terms[a].importance.total_cmp(&terms[b].importance))?;
+        self.rows[fullest].lanes[least].back().map(|(ix, _)| ix)
+    }
+
+    // ---- turning away ----
+
+    fn reject(&mut self, now: Nanos, ix: StmtIx, out: &mut dyn Output) {
+        let Some(ticket) = &self.tickets[ix.0] else { return };
+        let (team, work) = (ticket.team as usize, ticket.work);
+        let come_back = self.come_back(now, ix, team, work);
+        self.turn(now, ix, Place::Over);
+        let row = &mut self.rows[team];
+        if row.refusing_since.is_some() && now >= row.refused_at + CALM_AFTER {
+            row.refusing_since = None;
+        }
+        row.refused_at = now;
+        row.refused += 1;
+        if row.refusing_since.is_none() {
+            row.refusing_since = Some(now);
+            let (queued, held, before) = (row.queued, row.out, row.refused - 1);
+            let part = self.part(team);
+            let line = format!(
+                "Within -> Over: {queued} waiting, {held:.1} of its {part:.1} threads out, {before} rejected before"
+            );
+            out.mode(Some(team), &line);
+        }
+        out.reject(ix, come_back);
+    }
+
+    /// When there is room again for as much: behind what waits and behind those sent away before, spread by chance
+    /// so that they do not come together.
+    fn come_back(&mut self, now: Nanos, ix: StmtIx, team: usize, work: u64) -> Nanos {
+        let most = self.budgets.longest_come_back;
+        if most == 0 {
+            return 0;
+        }
+        // Without engines nobody can tell.
+        let wait = if self.window.threads() > 0.0 { self.wait(now, ix).min(most) } else { most };
+        let per_s = (self.pace_of(team) / 1e9).max(1e-9);
+        let row = &mut self.rows[team];
+        let its_turn = (work as f64 / 1e9 / per_s * 1e9).min(most as f64) as Nanos;
+        row.appointment = row.appointment.max(now).saturating_add(its_turn).min(now + most);
+        let back = wait.max(row.appointment - now).max(SOONEST_BACK);
+        self.chances += 1;
+        let chance = unit_hash(&(self.seed, self.chances));
+        // At the longest the spread goes below it, or all of them would come back at once then.
+        let spread = (back as f64 * SPREAD_BACK * chance) as Nanos;
+        if back + spread > most { most.saturating_sub(spread) } else { back + spread }
+    }
+
+    fn may_wait_until(&self, ticket: &Ticket) -> Nanos {
+        let (team, workload) = (ticket.team as usize, usize::from(ticket.workload));
+        let own = self.budgets.team(team).lane(workload).longest_wait;
+        let longest = own.unwrap_or(self.budgets.workloads[workload].longest_wait);
+        let left = ticket.deadline.saturating_sub(ticket.came);
+        ticket.came.saturating_add(longest).min(ticket.deadline - (left / LAST_PART).min(ticket.deadline))
+    }
+
+    fn time(&mut self, ix: StmtIx, until: Nanos) {
+        let timer = self.wheel.set(until, Due::Waited(ix));
+        let old = self.tickets[ix.0].as_mut().and_then(|ticket| ticket.timer.replace(timer));
+        if let Some(old) = old {
+            self.wheel.remove(old);
+        }
+    }
+
+    // ---- waits ----
+
+    /// Measures how fast virtual time goes while somebody waits.
+    fn keep_pace(&mut self, now: Nanos) {
+        if self.contended {
+            let went = self.virtual_now.saturating_sub(self.paced_tag);
+            self.pace.went_on(went as f64, now.saturating_sub(self.paced_at));
+        }
+        self.paced_at = now;
+        self.paced_tag = self.virtual_now;
+    }
+
+    /// Work (ns) a second that a team is served with while it waits.
+    fn pace_of(&self, team: usize) -> f64 {
+        let share = self.budgets.team(team).share.max(LEAST_SHARE);
+        // What the cores promise, divided among those that wait.
+        let waiting = self.ranks.len().max(1) as f64;
+        let promised = self.window.cores() * 1e9 / share / waiting;
+        let budget = self.budgets.team(team).work_per_s * 1e9;
+        let in_order = self.pace.per_s(promised) * share;
+        self.rows[team].pace.per_s(in_order).min(budget)
+    }
+
+    /// How long a queued statement will wait from now, by what is ahead of it and the pace of its team.
+    fn wait(&self, now: Nanos, ix: StmtIx) -> Nanos {
+        let Some(ticket) = &self.tickets[ix.0] else { return 0 };
+        let (team, workload) = (ticket.team as usize, usize::from(ticket.workload));
+        if self.window.threads() <= 0.0 {
+            return 0;
+        }
+        let row = &self.rows[team];
+        let pace = self.pace_of(team).max(1.0);
+        let urgent = row.urgent_lane == Some(workload);
+        let slack = self.budgets.workloads[workload].slack;
+        let due = ticket.came.saturating_add(slack);
+        let mut ahead = row.lanes[workload].ahead_of(ticket.number).work as f64;
+        let mut coming = 0.0;
+        for (w, lane) in row.lanes.iter().enumerate().filter(|&(w, _)| w != workload) {
+            let earlier = due.saturating_sub(self.budgets.workloads[w].slack);
+            let part = if row.urgent_lane == Some(w) {
+                // It goes ahead of all in three of four.
+                lane.sum().work as f64
+            } else if urgent {
+                lane.before(earlier).work as f64 / f64::from(URGENT_IN_A_ROW + 1)
+            } else {
+                lane.before(earlier).work as f64
+            };
+            ahead += part;
+            if !urgent && earlier > now {
+                // What comes until then in more pressing workloads goes ahead too.
+                let span = ((earlier - now) as f64).min(ahead / pace * 1e9) / 1e9;
+                coming += row.coming[w].per_s(now) * 1e9 * span;
+            }
+        }
+        ahead += coming;
+        let share = self.budgets.team(team).share.max(LEAST_SHARE);
+        // The statement released last lies between the order's time and the team's tag: half of it is to come.
+        let behind = row.tag.saturating_sub(self.virtual_now) as f64 * share;
+        let behind = (behind - row.last_charge as f64).max(0.0) + behind.min(row.last_charge as f64) / 2.0;
+        let in_order = (ahead + behind) / pace * 1e9;
+        let budget = self.budgets.team(team);
+        let by_budget = if budget.work_per_s.is_finite() {
+            ((ahead / 1e9 - row.bucket.left()) / budget.work_per_s.max(1e-9) * 1e9).max(0.0)
+        } else {
+            0.0
+        };
+        in_order.max(by_budget).min(Nanos::MAX as f64 / 4.0) as Nanos
+    }
+}
+
+/// Work in virtual time.
+fn span(work: u64, share: f64) -> u64 {
+    (work as f64 / share.max(LEAST_SHARE)) as u64
+}
+
+fn unit_hash(value: &impl Hash) -> f64 {
+    let mut hasher = DefaultHasher::new();
+    value.hash(&mut hasher);
+    (hasher.finish() >> 11) as f64 / (1u64 << 53) as f64
+}
--- /dev/null
+++ b/crates/ivypitch-teams/src/waits.rs
@@ -0,0 +1,103 @@
+//! How fast the order moves, what a wait will be, and how good such words were.
+
+use hdrhistogram::Histogram;
+use ivypitch::interface::Nanos;
+
+/// Evidence of the order's pace fades with this time.
+const FADE: f64 = 1.0;
+/// Until there is more evidence, so many seconds of the pace that the engines' cores promise.
+const PRIOR: f64 = 0.1;
+/// Spread: the first guess of the relative error, its smoothing, and what of it is told on each side.
+const FIRST_ERROR: f64 = 0.2;
+const LEARN: f64 = 0.02;
+const SPREAD: f64 = 2.0;
+/// What can't be told more finely.
+pub const GRAIN: Nanos = 50_000_000;
+const MS: Nanos = 1_000_000;
+const LONGEST_MS: u64 = 3_600_000;
+
+/// What a statement is told of its wait.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Default)]
+pub struct Wait {
+    pub low: Nanos,
+    pub mid: Nanos,
+    pub high: Nanos,
+}
+
+/// Something that goes on while somebody waits, measured over such times only.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Pace {
+    done: f64,
+    span: f64,
+}
+
+impl Pace {
+    pub fn went_on(&mut self, done: f64, span: Nanos) {
+        let span = span as f64 / 1e9;
+        let kept = (-span / FADE).exp();
+        self.done = self.done * kept + done;
+        self.span = self.span * kept + span;
+    }
+
+    /// A second's worth; `promised` stands for it until there is evidence.
+    pub fn per_s(&self, promised: f64) -> f64 {
+        (self.done + promised * PRIOR) / (self.span + PRIOR)
+    }
+}
+
+/// A rate of what comes, fading.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Rate {
+    sum: f64,
+    at: Nanos,
+}
+
+impl Rate {
+    pub fn add(&mut self, now: Nanos, amount: f64) {
+        let span = now.saturating_sub(self.at) as f64 / 1e9;
+        self.sum = self.sum * (-span / FADE).exp() + amount;
+        self.at = self.at.max(now);
+    }
+
+    pub fn per_s(&self, now: Nanos) -> f64 {
+        let span = now.saturating_sub(self.at) as f64 / 1e9;
+        self.sum * (-span / FADE).exp() / FADE
+    }
+}
+
+/// Waits as they were, and how far the words about them were off.
+pub struct Record {
+    pub waits_ms: Histogram<u64>,
+    /// |true - told| in percent of the true wait, of those that waited longer than the grain.
+    pub errors_percent: Histogram<u64>,
+    pub told: u64,
+    /// Within a quarter of the true wait, or within the grain of it.
+    pub good: u64,
+    error: f64,
+}
+
+impl Default for Record {
+    fn default() -> Self {
+        let of = |most| Histogram::new_with_bounds(1, most, 2).unwrap_or_else(|_| unreachable!());
+        Record { waits_ms: of(LONGEST_MS), errors_percent: of(10_000), told: 0, good: 0, error: FIRST_ERROR }
+    }
+}
+
+impl Record {
+    pub fn wait(&self, mid: Nanos) -> Wait {
+        let off = (mid as f64 * (SPREAD * self.error).min(0.9)) as Nanos;
+        Wait { low: mid.saturating_sub(off), mid, high: mid.saturating_add(off).saturating_add(GRAIN) }
+    }
+
+    pub(crate) fn released(&mut self, told: Nanos, was: Nanos) {
+        let off = told.abs_diff(was);
+        self.told += 1;
+        self.good += u64::from(off <= GRAIN || off <= was / 4);
+        self.waits_ms.saturating_record(was / MS);
+        let relative = off as f64 / was.max(1) as f64;
+        if was > GRAIN {
+            self.errors_percent.saturating_record((relative * 100.0) as u64);
+            self.error += LEARN * (relative.min(1.0) - self.error);
+        }
+    }
+}
