Queues of teams stand between session and module; own settings in Nickel; command ivypitch

The deciding crate had no place in the program, and the program no settings of its own.

The module's actor passes each arrival through the teams' queues where an own file sets them up; every way out (gone, killed, timed out, SIGTERM, SIGHUP with new budgets) ends a queued statement without the module hearing of it. SHOW QUEUE and SHOW WAIT 'id' answer from the queues. Stand-ins move to the lab crate.

All tests of the gateway pass through the new command; without an own file nothing of it runs.

--- /dev/null
+++ b/crates/ivypitch-command/src/check.rs
@@ -0,0 +1,69 @@
+//! `ivypitch check`: all faults of an own settings file at once, or its checked form as plain JSON.
+
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use ivypitch_deployment::own;
+use ivypitch_deployment::schema::{Fault, describe};
+use ivypitch_gateway::life::configuration;
+
+#[derive(clap::Args)]
+pub struct Check {
+    /// The file: records in Nickel (.ncl) or plain JSON (.json).
+    #[arg(required_unless_present = "fields")]
+    file: Option<PathBuf>,
+    /// Check its names, too, against a platform's configuration.
+    #[arg(long, value_name = "CONFIG")]
+    against: Option<PathBuf>,
+    /// Print the whole of it, with defaults, as plain JSON.
+    #[arg(long)]
+    emit: bool,
+    /// Print every field with its type, bounds and default.
+    #[arg(long)]
+    fields: bool,
+}
+
+impl Check {
+    pub fn run(self) -> ExitCode {
+        if self.fields {
+            let mut lines = Vec::new();
+            describe(own::OWN, "", &mut lines);
+            lines.iter().for_each(|line| println!("{line}"));
+            return ExitCode::SUCCESS;
+        }
+        match self.checked() {
+            Ok(()) => ExitCode::SUCCESS,
+            Err(mut faults) => {
+                faults.sort();
+                let file = self.file.as_ref().map(|f| f.display().to_string()).unwrap_or_default();
+                faults.iter().for_each(|fault| eprintln!("{file}: {fault}"));
+                if faults.len() > 1 {
+                    eprintln!("{} faults", faults.len());
+                }
+                ExitCode::FAILURE
+            }
+        }
+    }
+
+    fn checked(&self) -> Result<(), Vec<Fault>> {
+        let Some(file) = &self.file else { return Ok(()) };
+        let node = ivypitch_records::read(file)?;
+        let whole = own::check(&node)?;
+        let fault = |what: String| vec![Fault::new("", what)];
+        if let Some(config) = &self.against {
+            let configuration = configuration::from_file(config).map_err(fault)?;
+            let own = own::read(whole.to_string().as_bytes())?;
+            if let Some(teams) = &own.teams {
+                teams.budgets(&configuration.given, configuration.bounds.clients).map_err(|faults| {
+                    faults.into_iter().map(|f| Fault { line: node.line_of(&f.path), ..f }).collect::<Vec<_>>()
+                })?;
+            }
+        }
+        if self.emit {
+            println!("{whole}");
+        } else {
+            println!("{}: good", file.display());
+        }
+        Ok(())
+    }
+}
--- a/crates/ivypitch-deployment/src/lib.rs
+++ b/crates/ivypitch-deployment/src/lib.rs
@@ -1,6 +1,9 @@
 //! The JSON of a deployment's settings, read into the module's facts for both of its hosts. Unknown keys are
 //! passed over; what is missing takes the value that stands for "not there".
 
+pub mod own;
+pub mod schema;
+
 use ivypitch::interface::*;
 use serde::Deserialize;
 
@@ -155,13 +158,13 @@
 }
 
 /// Limits that concern connections and no decision; 0: not stated.
-#[derive(Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Limits {
     pub connect_timeout: Nanos,
     pub idle_close: Nanos,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Given {
     pub facts: Deployment,
     pub names: Names,
--- a/crates/ivypitch-gateway/src/actors/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/mod.rs
@@ -4,11 +4,14 @@
 pub mod execution;
 pub mod list;
 pub mod module;
+pub mod queues;
 pub mod session;
 
 use async_channel::Sender;
 use ivypitch::interface::{EngineIx, Nanos, Note, Outcome, StmtIx};
 
+use ivypitch_teams::{Budgets, Queued};
+
 use crate::memory::rows::Rows;
 use crate::wire::fields::Fields;
 use crate::wire::journal::Hosts;
@@ -65,6 +68,25 @@
     Drain {
         by: Nanos,
     },
+    /// New budgets of the teams.
+    Budgets {
+        budgets: Box<Budgets>,
+    },
+    /// What waits in the teams' queues: all of it, or the statement of this id.
+    Show {
+        req: Option<u64>,
+        client: Sender<Vec<Shown>>,
+    },
+}
+
+/// A row of what waits, as a client is shown it; times in milliseconds.
+#[derive(Debug)]
+pub struct Shown {
+    pub req: String,
+    pub team: usize,
+    pub workload: usize,
+    /// `None`: it has gone on to the module.
+    pub queued: Option<Queued>,
 }
 
 /// To a client's session: the one answer to its statement.
--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -14,10 +14,12 @@
 use ivypitch::interface::*;
 use ivypitch::rules::Gateway;
 use ivypitch_deployment::{Given, Limits, Names, estimated_mb, table_group};
+use ivypitch_teams::{Budgets, Claim};
 
 use super::engine::{self, EngineMail, Link};
 use super::execution::Execution;
-use super::{Answer, End, ExecutionKey, ExecutionMail, ModuleMail};
+use super::queues::{Act, Queues};
+use super::{Answer, End, ExecutionKey, ExecutionMail, ModuleMail, Shown};
 use crate::life::clock::Clock;
 use crate::memory::engines::{EngineIds, id_as_number};
 use crate::memory::permits::Permits;
@@ -85,6 +87,15 @@
     answer_grace: Nanos,
     /// The program ends: everything has to be answered by then.
     answer_by: Nanos,
+    /// Of each workload's statements.
+    threads: Vec<f64>,
+    /// Cores by kind, and by engine where it is ready.
+    kind_cores: Vec<f64>,
+    cores: Vec<f64>,
+    gateways: f64,
+    /// Statements that the module has dropped, for the teams' queues; with their work and time.
+    over: Vec<(StmtIx, Option<Nanos>, Option<Nanos>)>,
+    has_queues: bool,
     permits: Rc<Permits>,
     module: Sender<ModuleMail>,
     executor: Rc<LocalExecutor<'static>>,
@@ -95,7 +106,10 @@
     mailbox: Sender<EngineMail>,
 }
 
+/// The order in which a statement meets what decides on it stands here and in [`Module::settle`]: first its team's
+/// queue, where the own file sets up teams, then the module.
 pub struct Module {
+    queues: Option<Queues>,
     gateway: Gateway,
     world: World,
 }
@@ -103,6 +117,7 @@
 impl Module {
     pub fn new(
         given: Given,
+        budgets: Option<Budgets>,
         seed: u64,
         clock: Clock,
         permits: Rc<Permits>,
@@ -110,7 +125,10 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Module {
         let now = clock.now();
+        let has_queues = budgets.is_some();
+        let customers = given.names.customers.clone();
         Module {
+            queues: budgets.map(|budgets| Queues::new(budgets, customers, seed, now)),
             world: World {
                 clock,
                 now,
@@ -123,6 +141,12 @@
                 limits: given.limits,
                 answer_grace: given.facts.answer_grace,
                 answer_by: Nanos::MAX,
+                threads: given.facts.workloads.iter().map(|w| w.threads.max(1.0)).collect(),
+                kind_cores: given.facts.kinds.iter().map(|kind| kind.cores.max(1.0)).collect(),
+                cores: Vec::new(),
+                gateways: given.facts.gateways.max(1) as f64,
+                over: Vec::new(),
+                has_queues,
                 permits,
                 module,
                 executor,
@@ -138,8 +162,11 @@
             self.listed(hosts, Some(kind));
             kind = ListKind::Delta;
         }
+        self.settle();
         loop {
-            let due = self.world.timers.next().map(|at| self.world.clock.instant(at));
+            let wake = self.queues.as_ref().and_then(Queues::next_wake);
+            let due = self.world.timers.next().into_iter().chain(wake).min();
+            let due = due.map(|at| self.world.clock.instant(at));
             let timer = async {
                 match due {
                     Some(at) => Timer::at(at).await,
@@ -160,21 +187,69 @@
             while let Some(due) = self.world.timers.pop(self.world.now) {
                 self.come_due(due);
             }
+            if let Some(queues) = &mut self.queues {
+                queues.woken(self.world.now);
+                self.settle();
+            }
+        }
+    }
+
+    /// Does what the teams' queues ask for, and tells them what came of it, until nothing is left.
+    fn settle(&mut self) {
+        let Module { queues: Some(queues), gateway, world } = self else { return };
+        let now = world.now;
+        loop {
+            if let Some((stmt, real, took)) = world.over.pop() {
+                queues.over(now, stmt, real, took);
+                continue;
+            }
+            match queues.next() {
+                Some(Act::Release(stmt)) => {
+                    let by = world.answer_by;
+                    let Some(open) = world.stmts.get(stmt) else { continue };
+                    let left = open.deadline.min(by).saturating_sub(now);
+                    let arrival = arrival(&open.fields, open.workload, open.customer, left);
+                    gateway.arrive(now, stmt, arrival, world);
+                }
+                Some(Act::Reject(stmt, come_back)) => {
+                    world.answer(stmt, Answer::Rejected { come_back });
+                    world.drop_statement(stmt);
+                }
+                None => return,
+            }
+        }
+    }
+
+    /// Its client waits no more, or has its answer. Where it is still queued, that is all; else the module is told.
+    fn expire(&mut self, stmt: StmtIx) {
+        let Module { queues, gateway, world } = self;
+        if queues.as_mut().is_some_and(|queues| queues.leave(world.now, stmt)) {
+            world.stmts.answer(stmt);
+            world.drop_statement(stmt);
+        } else {
+            gateway.expired(world.now, stmt, world);
         }
     }
 
     fn take(&mut self, mail: ModuleMail) {
-        let Module { gateway, world } = self;
+        let Module { queues, gateway, world } = self;
         world.now = world.clock.now();
         let now = world.now;
         match mail {
             ModuleMail::Arrived { connection, fields, workload, customer, at, client } => {
                 let deadline = (at + fields.timeout_ms * MS).min(world.answer_by);
                 let arrival = arrival(&fields, workload, customer, deadline.saturating_sub(now));
-                match world.stmts.open(connection, fields, deadline, client) {
+                let bytes = fields.statement.len();
+                match world.stmts.open(connection, fields, (workload, customer), deadline, client) {
                     Ok(stmt) => {
                         world.watch_statement(stmt);
-                        gateway.arrive(now, stmt, arrival, world);
+                        if let Some(queues) = queues {
+                            let told_work = arrival.estimated_work;
+                            let claim = Claim { team: customer, workload, told_work, bytes, deadline };
+                            queues.arrive(now, stmt, claim);
+                        } else {
+                            gateway.arrive(now, stmt, arrival, world);
+                        }
                     }
                     Err(client) => drop(client.try_send(Answer::IdTaken)),
                 }
@@ -182,13 +257,13 @@
             ModuleMail::Gone { connection } => {
                 if let Some(stmt) = world.stmts.of_connection(connection) {
                     world.stmts.answer(stmt);
-                    gateway.expired(now, stmt, world);
+                    self.expire(stmt);
                 }
             }
             ModuleMail::Kill { connection } => {
                 if let Some(stmt) = world.stmts.of_connection(connection) {
                     world.answer(stmt, Answer::Killed);
-                    gateway.expired(now, stmt, world);
+                    self.expire(stmt);
                 }
             }
             ModuleMail::Noted { key, note } => {
@@ -201,12 +276,45 @@
             ModuleMail::Drain { by } => {
                 world.answer_by = by;
                 gateway.ending(by);
+                if let Some(queues) = queues {
+                    queues.ending(now, by);
+                }
+            }
+            ModuleMail::Budgets { budgets } => {
+                if let Some(queues) = queues {
+                    queues.reload(now, *budgets);
+                }
+            }
+            ModuleMail::Show { req, client } => {
+                let _ = client.try_send(self.shown(req));
             }
         }
+        self.settle();
+    }
+
+    fn shown(&mut self, req: Option<u64>) -> Vec<Shown> {
+        let Module { queues: Some(queues), world, .. } = self else { return Vec::new() };
+        let now = world.now;
+        let shown = |stmts: &mut Statements, stmt: StmtIx| {
+            let open = stmts.get(stmt)?;
+            Some(Shown {
+                req: String::from_utf8_lossy(&open.fields.req).into_owned(),
+                team: open.customer,
+                workload: open.workload,
+                queued: queues.row(now, stmt),
+            })
+        };
+        match req {
+            Some(req) => {
+                let stmt = world.stmts.of_req(req);
+                stmt.and_then(|stmt| shown(&mut world.stmts, stmt)).into_iter().collect()
+            }
+            None => queues.rows(now).iter().filter_map(|row| shown(&mut world.stmts, row.stmt)).collect(),
+        }
     }
 
     fn come_due(&mut self, due: Due) {
-        let Module { gateway, world } = self;
+        let Module { gateway, world, queues } = self;
         let now = world.now;
         match due {
             Due::Wake { mark } => gateway.woken(now, mark, world),
@@ -214,11 +322,14 @@
             Due::StatementOver { stmt, serial } => {
                 let stmt = StmtIx(stmt);
                 if world.stmts.get_same(stmt, serial).is_some_and(|open| open.client.is_some()) {
-                    world.answer(stmt, Answer::Aborted);
-                    gateway.expired(now, stmt, world);
+                    let queued = queues.as_ref().is_some_and(|queues| queues.is_queued(stmt));
+                    let late = if queued { Answer::Rejected { come_back: 0 } } else { Answer::Aborted };
+                    world.answer(stmt, late);
+                    self.expire(stmt);
                 }
             }
         }
+        self.settle();
     }
 
     /// An execution's time is over: it is given up, and over for the module with the statement's own time,
@@ -241,7 +352,7 @@
 
     /// Ends an execution for the module, unless that has been done.
     fn ended(&mut self, key: ExecutionKey, end: End) {
-        let Module { gateway, world } = self;
+        let Module { gateway, world, .. } = self;
         let Some(out) = world.out(key) else { return };
         let given_up = end.outcome == Outcome::Cancelled && out.as_ref().is_some_and(|out| out.timed_out);
         let Some(out) = out.take_if(|_| !given_up) else { return };
@@ -250,12 +361,24 @@
         if let Some(rows) = end.rows {
             world.answer(key.stmt, Answer::Completed(rows));
         }
+        let took = world.now.saturating_sub(out.sent_at);
+        if world.has_queues
+            && let Some(open) = world.stmts.get(key.stmt)
+        {
+            let threads = world.threads.get(open.workload).copied().unwrap_or(1.0);
+            if !end.outcome.never_ran() {
+                let on_engine = (took as f64 * threads) as Nanos;
+                let work = end.true_cost.map_or(on_engine, |(ms, _)| (ms * MS as f64) as Nanos);
+                open.real = Some(open.real.unwrap_or(0) + work);
+            }
+            open.took = (end.outcome == Outcome::Completed).then_some(took);
+        }
         let closed = world.stmts.get(key.stmt).is_none_or(|open| open.client.is_none());
         let ended = Ended {
             execution: key.number,
             engine: key.engine,
             outcome: end.outcome,
-            took: world.now.saturating_sub(out.sent_at),
+            took,
             closed,
             true_cost: end.true_cost,
             report: &end.report,
@@ -264,7 +387,7 @@
     }
 
     fn listed(&mut self, hosts: Hosts, kind: Option<ListKind>) {
-        let Module { gateway, world } = self;
+        let Module { queues, gateway, world } = self;
         let kind = kind.unwrap_or(if hosts.full { ListKind::Full } else { ListKind::Delta });
         let rows: Vec<EngineRow> = hosts.servers.iter().filter_map(|server| world.row(server)).collect();
         if kind != ListKind::Delta {
@@ -274,6 +397,10 @@
             }
         }
         gateway.engines_listed(world.now, kind, &rows, world);
+        if let Some(queues) = queues {
+            let cores = world.cores_listed(kind, &rows);
+            queues.capacity(world.now, cores / world.gateways);
+        }
         let World { engines, mailboxes, .. } = world;
         engines.keep(|ix| gateway.names(ix) || mailboxes.get(ix.0).is_some_and(Option::is_some));
     }
@@ -304,6 +431,28 @@
         self.timers.set(open.deadline + self.answer_grace, due);
     }
 
+    /// The cores of the engines that are ready, after these rows of the list.
+    fn cores_listed(&mut self, kind: ListKind, rows: &[EngineRow]) -> f64 {
+        if kind != ListKind::Delta {
+            self.cores.clear();
+        }
+        for row in rows {
+            self.cores.resize(self.cores.len().max(row.engine.0 + 1), 0.0);
+            let cores = self.kind_cores.get(usize::from(row.kind)).copied().unwrap_or(1.0);
+            self.cores[row.engine.0] = if row.phase == EnginePhase::Ready { cores } else { 0.0 };
+        }
+        self.cores.iter().sum()
+    }
+
+    /// What no longer concerns anybody; its index is free.
+    fn drop_statement(&mut self, stmt: StmtIx) {
+        let Some(open) = self.stmts.get(stmt) else { return };
+        let due = Due::StatementOver { stmt: stmt.0, serial: open.serial };
+        let at = open.deadline + self.answer_grace;
+        self.timers.unset(at, due);
+        self.stmts.close(stmt);
+    }
+
     fn answer(&mut self, stmt: StmtIx, answer: Answer) {
         if let Some(client) = self.stmts.answer(stmt) {
             let _ = client.try_send(answer);
@@ -430,11 +579,12 @@
     }
 
     fn forget(&mut self, stmt: StmtIx) {
-        let Some(open) = self.stmts.get(stmt) else { return };
-        let due = Due::StatementOver { stmt: stmt.0, serial: open.serial };
-        let at = open.deadline + self.answer_grace;
-        self.timers.unset(at, due);
-        self.stmts.close(stmt);
+        if self.has_queues
+            && let Some(open) = self.stmts.get(stmt)
+        {
+            self.over.push((stmt, open.real, open.took));
+        }
+        self.drop_statement(stmt);
     }
 
     fn wake(&mut self, mark: u64, after: Nanos) {
--- /dev/null
+++ b/crates/ivypitch-gateway/src/actors/queues.rs
@@ -0,0 +1,112 @@
+//! Between the sessions and the module: where the own file sets up teams, statements wait here until theirs lets
+//! them go on. All that is decided is `ivypitch_teams`'; this keeps what it asked for until the module's actor does
+//! it.
+
+use std::collections::VecDeque;
+
+use ivypitch::interface::{Nanos, StmtIx};
+use ivypitch_teams::{Budgets, Claim, Output, Queued, Record, Teams};
+
+/// So many rows a client is shown at most.
+pub const MOST_SHOWN: usize = 200;
+
+/// What the teams' queues ask for.
+#[derive(Clone, Copy, Debug)]
+pub enum Act {
+    Release(StmtIx),
+    Reject(StmtIx, Nanos),
+}
+
+/// Emptied by the module's actor after each call.
+struct Acts {
+    asked: VecDeque<Act>,
+    customers: Vec<String>,
+}
+
+impl Output for Acts {
+    fn release(&mut self, stmt: StmtIx) {
+        self.asked.push_back(Act::Release(stmt));
+    }
+
+    fn reject(&mut self, stmt: StmtIx, come_back: Nanos) {
+        self.asked.push_back(Act::Reject(stmt, come_back));
+    }
+
+    fn mode(&mut self, team: Option<usize>, line: &str) {
+        match team.and_then(|team| self.customers.get(team)) {
+            Some(team) => log::info!(team = team.as_str(); "team {team} {line}"),
+            None => log::info!("teams {line}"),
+        }
+    }
+}
+
+pub struct Queues {
+    teams: Teams,
+    acts: Acts,
+}
+
+impl Queues {
+    pub fn new(budgets: Budgets, customers: Vec<String>, seed: u64, now: Nanos) -> Queues {
+        Queues { teams: Teams::new(budgets, seed, now), acts: Acts { asked: VecDeque::new(), customers } }
+    }
+
+    /// The next thing asked for.
+    pub fn next(&mut self) -> Option<Act> {
+        self.acts.asked.pop_front()
+    }
+
+    pub fn arrive(&mut self, now: Nanos, stmt: StmtIx, claim: Claim) {
+        self.teams.arrive(now, stmt, claim, &mut self.acts);
+    }
+
+    /// False: it is not waiting here.
+    pub fn leave(&mut self, now: Nanos, stmt: StmtIx) -> bool {
+        self.teams.leave(now, stmt, &mut self.acts)
+    }
+
+    pub fn over(&mut self, now: Nanos, stmt: StmtIx, real: Option<Nanos>, took: Option<Nanos>) {
+        self.teams.over(now, stmt, real, took, &mut self.acts);
+    }
+
+    pub fn capacity(&mut self, now: Nanos, cores: f64) {
+        self.teams.capacity(now, cores, &mut self.acts);
+    }
+
+    pub fn reload(&mut self, now: Nanos, budgets: Budgets) {
+        self.teams.reload(now, budgets, &mut self.acts);
+    }
+
+    pub fn ending(&mut self, now: Nanos, by: Nanos) {
+        self.teams.ending(now, by, &mut self.acts);
+    }
+
+    pub fn woken(&mut self, now: Nanos) {
+        if self.next_wake().is_some_and(|at| at <= now) {
+            self.teams.woken(now, &mut self.acts);
+        }
+    }
+
+    pub fn next_wake(&self) -> Option<Nanos> {
+        self.teams.next_wake()
+    }
+
+    pub fn is_queued(&self, stmt: StmtIx) -> bool {
+        self.teams.is_queued(stmt)
+    }
+
+    pub fn rows(&self, now: Nanos) -> Vec<Queued> {
+        self.teams.queued_rows(now, MOST_SHOWN)
+    }
+
+    pub fn row(&self, now: Nanos, stmt: StmtIx) -> Option<Queued> {
+        self.teams.queued_row(now, stmt)
+    }
+
+    pub fn record(&self) -> &Record {
+        self.teams.record()
+    }
+
+    pub fn queued(&self) -> usize {
+        self.teams.queued()
+    }
+}
--- a/crates/ivypitch-gateway/src/actors/session.rs
+++ b/crates/ivypitch-gateway/src/actors/session.rs
@@ -15,13 +15,13 @@
 use futures_lite::{AsyncWriteExt, FutureExt, future::yield_now};
 use ivypitch_deployment::Names;
 
-use super::{Answer, ModuleMail};
+use super::{Answer, ModuleMail, Shown};
 use crate::life::bounds::Bounds;
 use crate::life::clock::Clock;
 use crate::memory::rows::{COLUMNS, Rows};
 use crate::memory::seats::{Done, Seats, Standing};
 use crate::wire::fields;
-use crate::wire::mysql::{self, Command, Fault, Packet, Writer};
+use crate::wire::mysql::{self, Command, Fault, Packet, ShowWaits, Writer};
 
 const USER: &[u8] = b"app";
 const DATABASE: &[u8] = b"dw";
@@ -65,6 +65,8 @@
     /// By connection number; a session ends as its task is dropped.
     seats: RefCell<Seats<Task<()>>>,
     open: Cell<usize>,
+    /// Clients may ask what waits.
+    show: Cell<bool>,
     fewer: (Sender<()>, Receiver<()>),
 }
 
@@ -85,10 +87,15 @@
             last: Cell::new(0),
             seats: RefCell::new(Seats::new(bounds.clients + bounds.told)),
             open: Cell::new(0),
+            show: Cell::new(false),
             fewer: async_channel::bounded(1),
         })
     }
 
+    pub fn show(&self, on: bool) {
+        self.show.set(on);
+    }
+
     pub fn counts(&self) -> (usize, usize) {
         (self.seats.borrow().len(), self.open.get())
     }
@@ -239,6 +246,9 @@
             self.writer(sequence).ok();
             return Ok(());
         }
+        if let Some(asked) = mysql::show_waits(&text).filter(|_| sessions.show.get()) {
+            return self.show(asked, sequence).await;
+        }
         let names = &sessions.names;
         let index = |list: &[String], name: &Bytes| list.iter().position(|n| n.as_bytes() == &name[..]);
         let read = fields::read(&text).and_then(|fields| {
@@ -290,6 +300,26 @@
         Ok(())
     }
 
+    /// What waits in the teams' queues; no engine hears of it.
+    async fn show(&mut self, asked: ShowWaits, sequence: u8) -> Result<(), Over> {
+        let (client, shown) = async_channel::bounded(1);
+        let req = match asked {
+            ShowWaits::All => None,
+            ShowWaits::One(req) => Some(req),
+        };
+        let _ = self.sessions.module.try_send(ModuleMail::Show { req, client });
+        let shown = shown.recv().await.map_err(|_| Over::Closed)?;
+        let names = self.sessions.names.clone();
+        let mut writer = self.writer(sequence);
+        writer.columns(&SHOWN);
+        for row in &shown {
+            let row = row_of(row, &names);
+            writer.row(row.iter().map(String::as_bytes));
+        }
+        writer.eof();
+        Ok(())
+    }
+
     async fn result(&mut self, rows: Rows, mut sequence: u8) -> Result<(), Over> {
         let mut writer = self.writer(sequence);
         writer.columns(&COLUMNS);
@@ -380,6 +410,29 @@
     }
 }
 
+const SHOWN: [&[u8]; 9] =
+    [b"req", b"team", b"workload", b"state", b"position", b"low_ms", b"mid_ms", b"high_ms", b"age_ms"];
+
+fn row_of(row: &Shown, names: &Names) -> [String; 9] {
+    let name = |names: &[String], ix: usize| names.get(ix).cloned().unwrap_or_default();
+    let ms = |span: u64| (span / 1_000_000).to_string();
+    let (state, position, [low, mid, high, age]) = match &row.queued {
+        Some(q) => ("waiting", q.position, [q.wait.low, q.wait.mid, q.wait.high, q.age].map(ms)),
+        None => ("running", 0, [0; 4].map(ms)),
+    };
+    [
+        row.req.clone(),
+        name(&names.customers, row.team),
+        name(&names.workloads, row.workload),
+        state.into(),
+        position.to_string(),
+        low,
+        mid,
+        high,
+        age,
+    ]
+}
+
 async fn within<T>(until: Instant, work: impl Future<Output = Result<T, Over>>) -> Result<T, Over> {
     work.or(async {
         Timer::at(until).await;
--- a/crates/ivypitch-gateway/src/life/configuration.rs
+++ b/crates/ivypitch-gateway/src/life/configuration.rs
@@ -68,10 +68,9 @@
     })
 }
 
-/// Reads the file that the environment names.
-pub fn from_environment() -> Result<Configuration, String> {
-    let path = std::env::var("PROXY_CONFIG").map_err(|_| "PROXY_CONFIG is not set".to_owned())?;
-    let mut configuration = from_file(Path::new(&path))?;
+/// Reads the file; what the environment says of address and name wins.
+pub fn from_environment(path: &Path) -> Result<Configuration, String> {
+    let mut configuration = from_file(path)?;
     if let Ok(listen) = std::env::var("PROXY_LISTEN") {
         configuration.listen =
             listen.parse().map_err(|_| format!("PROXY_LISTEN {listen:?} is no address and port"))?;
--- a/crates/ivypitch-gateway/src/life/mod.rs
+++ b/crates/ivypitch-gateway/src/life/mod.rs
@@ -4,4 +4,5 @@
 pub mod clock;
 pub mod configuration;
 pub mod logger;
+pub mod own;
 pub mod program;
--- a/crates/ivypitch-gateway/src/life/program.rs
+++ b/crates/ivypitch-gateway/src/life/program.rs
@@ -14,9 +14,13 @@
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt, future::yield_now};
 use ivypitch::interface::Nanos;
+use ivypitch_deployment::Given;
+use ivypitch_deployment::own::Own;
+use ivypitch_teams::Budgets;
 
 use super::clock::Clock;
 use super::configuration::{self, Configuration};
+use super::own::OwnFile;
 use crate::actors::list::List;
 use crate::actors::{ModuleMail, module, session};
 use crate::memory::permits::Permits;
@@ -67,6 +71,11 @@
     configuration: PathBuf,
     journal: Option<SocketAddr>,
     longest_timeout: Nanos,
+    /// The project's own settings, the deployment and the places for clients that they are read against.
+    own: Option<OwnFile>,
+    given: Rc<Given>,
+    places: usize,
+    has_queues: bool,
 }
 
 /// The signals that the program heeds. From here on none of them ends it unasked; each waits to be read.
@@ -75,8 +84,14 @@
 }
 
 impl Program {
-    /// Brings everything up; an error ends the program before it has taken anything.
-    pub fn start(configuration: Configuration, clock: Clock, signals: Signals) -> Result<Program, String> {
+    /// Brings everything up; an error ends the program before it has taken anything. Without an own file all that
+    /// it could set up is off.
+    pub fn start(
+        configuration: Configuration,
+        own: Option<(OwnFile, Own)>,
+        clock: Clock,
+        signals: Signals,
+    ) -> Result<Program, String> {
         let Configuration { path, name, listen, seed, bounds, journal, known, mut given } = configuration;
         let listener = Async::<TcpListener>::bind(listen).map_err(|e| format!("listen on {listen}: {e}"))?;
         // The library asks for 128, which a burst of new connections overflows within 0.1 s.
@@ -87,10 +102,18 @@
         let workloads = given.facts.workloads.len();
         let longest_timeout = given.facts.workloads.iter().map(|w| w.statement_timeout).max().unwrap_or(0);
         given.facts.most_held = given.facts.most_held.min(bounds.clients);
+        let budgets =
+            own.as_ref().map(|(file, own)| budgets(file, own, &given, bounds.clients)).transpose()?;
+        let budgets = budgets.flatten();
+        let has_queues = budgets.is_some();
+        let show = own.as_ref().is_some_and(|(_, own)| own.teams.as_ref().is_some_and(|t| t.show));
+        let kept = Rc::new(given.clone());
         let sessions = session::Sessions::new(bounds, given.names.clone(), clock, module.clone(), seed);
+        sessions.show(show && has_queues);
         let follower = List { last: known.pos, longest_line: bounds.journal_line, module: module.clone() };
         let permits = Permits::new(bounds.engines);
-        let actor = module::Module::new(given, seed, clock, permits, module.clone(), executor.clone());
+        let actor =
+            module::Module::new(given, budgets, seed, clock, permits, module.clone(), executor.clone());
         executor.spawn(actor.run(mailbox, known)).detach();
         let (list, addresses) = async_channel::unbounded();
         executor.spawn(follower.run(journal, addresses)).detach();
@@ -106,6 +129,10 @@
             configuration: path,
             journal,
             longest_timeout,
+            own: own.map(|(file, _)| file),
+            given: kept,
+            places: bounds.clients,
+            has_queues,
         };
         log::info!(
             "{name} {}: listens on {listen}, {workloads} workloads, {} clients, {} engine connections",
@@ -164,8 +191,29 @@
         }
     }
 
-    /// Reads the configuration again. The journal service is followed at its new address; all else stays.
+    /// Reads the configuration again: the journal service is followed at its new address. And the own file, beside
+    /// all that goes on: new budgets take effect once it has been read.
     fn reload(&mut self) {
+        if let Some(file) = self.own.clone() {
+            let (given, places, has_queues) = (self.given.clone(), self.places, self.has_queues);
+            let (module, sessions) = (self.module.clone(), self.sessions.clone());
+            let task = async move {
+                let read = file.load_beside().await;
+                match read.and_then(|own| Ok((budgets(&file, &own, &given, places)?, own))) {
+                    Ok((Some(budgets), own)) if has_queues => {
+                        log::info!("reload: budgets of {} teams", budgets.teams.len());
+                        sessions.show(own.teams.is_some_and(|teams| teams.show));
+                        let _ = module.try_send(ModuleMail::Budgets { budgets: Box::new(budgets) });
+                    }
+                    Ok((budgets, _)) if budgets.is_some() != has_queues => {
+                        log::warn!("reload: queues of teams are turned on and off by a restart only");
+                    }
+                    Ok(_) => {}
+                    Err(why) => log::error!("reload: own settings stay: {why}"),
+                }
+            };
+            self.executor.spawn(task).detach();
+        }
         let journal = configuration::from_file(&self.configuration)
             .and_then(|new| new.journal.ok_or_else(|| "it names no journal".into()));
         match journal {
@@ -188,6 +236,15 @@
     }
 }
 
+/// The budgets that an own file sets up; none where it has no teams, or has them off.
+fn budgets(file: &OwnFile, own: &Own, given: &Given, places: usize) -> Result<Option<Budgets>, String> {
+    let Some(teams) = own.teams.as_ref().filter(|teams| teams.enabled) else { return Ok(None) };
+    teams.budgets(given, places).map(Some).map_err(|faults| {
+        let all: Vec<String> = faults.iter().map(|f| format!("{}: {f}", file.path.display())).collect();
+        all.join("; ")
+    })
+}
+
 /// Never waits for a place: the sessions make one.
 async fn accept(
     listener: Rc<Async<TcpListener>>,
--- a/crates/ivypitch-gateway/src/memory/statements.rs
+++ b/crates/ivypitch-gateway/src/memory/statements.rs
@@ -1,6 +1,6 @@
 //! The open statements: from their arrival until the module forgets them.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::HashMap;
 
 use async_channel::Sender;
 use ivypitch::interface::{EngineIx, Nanos, StmtIx};
@@ -24,6 +24,8 @@
     pub serial: u64,
     pub connection: u32,
     pub fields: Fields,
+    pub workload: usize,
+    pub customer: usize,
     pub deadline: Nanos,
     /// Taken by the answer.
     pub client: Option<Sender<Answer>>,
@@ -31,6 +33,10 @@
     pub out: Option<Out>,
     pub grant_mb: f64,
     pub priority: u8,
+    /// Work of its executions so far that may have run: as their answers tell it, else threads times time.
+    pub real: Option<Nanos>,
+    /// The time of its good execution.
+    pub took: Option<Nanos>,
 }
 
 /// A place is emptied as the module forgets its statement, and then used again.
@@ -40,7 +46,7 @@
     free: Vec<usize>,
     by_connection: HashMap<u32, StmtIx>,
     /// The ids of the statements in `places`.
-    reqs: HashSet<u64>,
+    reqs: HashMap<u64, StmtIx>,
     serial: u64,
 }
 
@@ -51,27 +57,34 @@
         &mut self,
         connection: u32,
         fields: Fields,
+        (workload, customer): (usize, usize),
         deadline: Nanos,
         client: Sender<Answer>,
     ) -> Result<StmtIx, Sender<Answer>> {
-        if !self.reqs.insert(fields.req_number()) {
+        let req = fields.req_number();
+        if self.reqs.contains_key(&req) {
             return Err(client);
         }
         let ix = self.free.pop().unwrap_or_else(|| {
             self.places.push(None);
             self.places.len() - 1
         });
+        self.reqs.insert(req, StmtIx(ix));
         self.serial += 1;
         self.places[ix] = Some(Open {
             serial: self.serial,
             connection,
             fields,
+            workload,
+            customer,
             deadline,
             client: Some(client),
             executions: 0,
             out: None,
             grant_mb: 0.0,
             priority: 1,
+            real: None,
+            took: None,
         });
         self.by_connection.insert(connection, StmtIx(ix));
         Ok(StmtIx(ix))
@@ -86,6 +99,10 @@
         self.get(ix).filter(|open| open.serial == serial)
     }
 
+    pub fn of_req(&self, req: u64) -> Option<StmtIx> {
+        self.reqs.get(&req).copied()
+    }
+
     /// The statement of a connection that still waits for its answer.
     pub fn of_connection(&mut self, connection: u32) -> Option<StmtIx> {
         let ix = *self.by_connection.get(&connection)?;
--- a/crates/ivypitch-gateway/src/wire/mysql.rs
+++ b/crates/ivypitch-gateway/src/wire/mysql.rs
@@ -229,3 +229,31 @@
     let id = std::str::from_utf8(words.next()?).ok()?.parse().ok()?;
     words.next().is_none().then_some(id)
 }
+
+/// A question about what waits.
+#[derive(Debug, PartialEq)]
+pub enum ShowWaits {
+    All,
+    /// The statement of this id.
+    One(u64),
+}
+
+/// `SHOW QUEUE` or `SHOW WAIT 'id'`.
+pub fn show_waits(statement: &[u8]) -> Option<ShowWaits> {
+    let text = std::str::from_utf8(statement.get(..64).unwrap_or(statement)).ok()?;
+    let mut words = text.trim_end_matches([';', ' ', '\n']).split_ascii_whitespace();
+    if !words.next()?.eq_ignore_ascii_case("SHOW") {
+        return None;
+    }
+    let what = words.next()?;
+    let asked = if what.eq_ignore_ascii_case("QUEUE") {
+        ShowWaits::All
+    } else if what.eq_ignore_ascii_case("WAIT") {
+        let id = words.next()?.trim_matches(['\'', '"']);
+        let hex = id.len() == 16 && id.bytes().all(|b| b.is_ascii_hexdigit());
+        ShowWaits::One(u64::from_str_radix(id, 16).ok().filter(|_| hex)?)
+    } else {
+        return None;
+    };
+    words.next().is_none().then_some(asked)
+}
--- /dev/null
+++ b/crates/ivypitch-lab/src/lib.rs
@@ -0,0 +1,4 @@
+//! The laboratory.
+
+pub mod command;
+pub mod stand_ins;
--- a/crates/ivypitch-gateway/tests/stand_ins/mod.rs
+++ b/crates/ivypitch-lab/src/stand_ins.rs
@@ -1,11 +1,10 @@
 //! Stand-ins for everything that a gateway talks to, and the gateway itself as a process. They wait on
 //! conditions, never for a fixed time.
-#![allow(dead_code)]
 
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
@@ -283,13 +282,21 @@
     }
 }
 
+/// The command `ivypitch` that was built beside this test or is this program.
+pub fn program() -> PathBuf {
+    let this = std::env::current_exe().unwrap();
+    let beside = this.parent().and_then(Path::parent).map(|folder| folder.join("ivypitch"));
+    beside.filter(|program| program.is_file()).unwrap_or(this)
+}
+
 /// The program with this configuration, its log, and where the configuration is.
 pub fn spawn(config: &str) -> (Child, Seen<String>, PathBuf) {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let name = format!("gateway-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
-    let path = std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config).unwrap();
-    let mut child = Command::new(env!("CARGO_BIN_EXE_ivypitch-gateway"))
+    let mut child = Command::new(program())
+        .arg("serve")
         .env("PROXY_CONFIG", &path)
         .stderr(Stdio::piped())
         .spawn()
--- a/crates/ivypitch-teams/src/lib.rs
+++ b/crates/ivypitch-teams/src/lib.rs
@@ -13,4 +13,4 @@
 
 pub use budgets::{Budgets, TeamBudget, WorkloadTerms};
 pub use teams::{Claim, Output, Queued, Teams};
-pub use waits::Wait;
+pub use waits::{Record, Wait};
