Laboratory: emulated engines, fleets in virtual time, load over sockets, experiment team-flood

Whether queues of teams help cannot be told without a flood to play. The lab has engines as values in virtual time, whole fleets of gateways driven by a seed, the same engines over HTTP with real gateways and open-loop MySQL clients, reports as text, JSON and SVG, and a demo.

--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -278,6 +278,7 @@
                 gateway.ending(by);
                 if let Some(queues) = queues {
                     queues.ending(now, by);
+                    queues.tell_record();
                 }
             }
             ModuleMail::Budgets { budgets } => {
--- a/crates/ivypitch-gateway/src/actors/queues.rs
+++ b/crates/ivypitch-gateway/src/actors/queues.rs
@@ -5,7 +5,7 @@
 use std::collections::VecDeque;
 
 use ivypitch::interface::{Nanos, StmtIx};
-use ivypitch_teams::{Budgets, Claim, Output, Queued, Record, Teams};
+use ivypitch_teams::{Budgets, Claim, Output, Queued, Teams};
 
 /// So many rows a client is shown at most.
 pub const MOST_SHOWN: usize = 200;
@@ -102,11 +102,16 @@
         self.teams.queued_row(now, stmt)
     }
 
-    pub fn record(&self) -> &Record {
-        self.teams.record()
-    }
-
-    pub fn queued(&self) -> usize {
-        self.teams.queued()
+    /// One line, as the program ends, of how good the words about waits were.
+    pub fn tell_record(&self) {
+        let record = self.teams.record();
+        let median = record.errors_percent.value_at_quantile(0.5);
+        let longest = record.waits_ms.max();
+        log::info!(
+            told = record.told, good = record.good, median_error_percent = median, longest_wait_ms = longest;
+            "teams waits told {}, good {}, median error {median}%, longest wait {longest} ms",
+            record.told,
+            record.good
+        );
     }
 }
--- a/crates/ivypitch-lab/src/command.rs
+++ b/crates/ivypitch-lab/src/command.rs
@@ -1,12 +1,83 @@
 //! `ivypitch lab`.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 
-#[derive(clap::Args)]
-pub struct Lab {}
+use clap::{Args, Subcommand};
+
+use crate::{demo, experiments};
+
+#[derive(Args)]
+pub struct Lab {
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Subcommand)]
+enum What {
+    /// Name the experiments.
+    List,
+    /// Play an experiment; exits 0 where all its bounds hold.
+    #[command(after_help = "Example: ivypitch lab run team-flood --quick --seed 7 --report /tmp/flood")]
+    Run(Run),
+    /// Emulated engines, a gateway and traffic on loopback for 20 s, with a line a second.
+    Demo,
+}
+
+#[derive(Args)]
+struct Run {
+    /// Its name; `ivypitch lab list` names them.
+    name: String,
+    /// Smaller and shorter, within 40 s.
+    #[arg(long)]
+    quick: bool,
+    /// Replays a run; without it one is drawn and printed.
+    #[arg(long)]
+    seed: Option<u64>,
+    /// The figures as JSON into this file.
+    #[arg(long, value_name = "FILE")]
+    json: Option<PathBuf>,
+    /// The report as text, JSON and plot into this folder.
+    #[arg(long, value_name = "DIR")]
+    report: Option<PathBuf>,
+}
 
 impl Lab {
     pub fn run(self) -> ExitCode {
-        ExitCode::FAILURE
+        match self.what {
+            What::List => {
+                experiments::ALL.iter().for_each(|e| println!("{}: {}", e.name, e.about));
+                ExitCode::SUCCESS
+            }
+            What::Run(run) => run.play(),
+            What::Demo => demo::play(),
+        }
+    }
+}
+
+impl Run {
+    fn play(self) -> ExitCode {
+        let Some(experiment) = experiments::ALL.iter().find(|e| e.name == self.name) else {
+            let names: Vec<&str> = experiments::ALL.iter().map(|e| e.name).collect();
+            eprintln!("no experiment {:?}; there is {}", self.name, names.join(", "));
+            return ExitCode::FAILURE;
+        };
+        let seed = self.seed.unwrap_or_else(|| rand::random::<u64>() % 1_000_000);
+        let report = (experiment.run)(self.quick, seed);
+        print!("{}", report.text());
+        let mut written = Ok(());
+        if let Some(file) = &self.json {
+            written = serde_json::to_string_pretty(&report)
+                .map_err(Into::into)
+                .and_then(|text| std::fs::write(file, text));
+        }
+        if let Some(folder) = &self.report {
+            written = written.and_then(|()| report.write(folder));
+        }
+        if let Err(e) = written {
+            eprintln!("report not written: {e}");
+            return ExitCode::FAILURE;
+        }
+        if report.holds() { ExitCode::SUCCESS } else { ExitCode::FAILURE }
     }
 }
--- /dev/null
+++ b/crates/ivypitch-lab/src/demo.rs
@@ -0,0 +1,71 @@
+//! `ivypitch lab demo`: a newcomer's start. Engines, a gateway and three teams on loopback, of which one floods.
+
+use std::process::ExitCode;
+
+use ivypitch::interface::SECOND;
+
+use crate::engine::Model;
+use crate::experiments::{TEAMS, teams};
+use crate::sockets::{self, Plan};
+use crate::traffic::{self, Flood};
+
+const SECONDS: u64 = 16;
+
+pub fn play() -> ExitCode {
+    let works = traffic::workloads(0.1);
+    let model = Model { cores: 8.0, ..Model::default() };
+    let (engines, span) = (4, SECONDS * SECOND);
+    let cores = engines as f64 * model.cores;
+    let flood = Flood::Step { times: 10.0, from: 5 * SECOND, until: 12 * SECOND };
+    let all = teams(cores, flood);
+    println!(
+        "{engines} emulated engines of {} cores, one gateway, {} teams; from second 5 to 12 {} asks 10 times as much",
+        model.cores,
+        all.len(),
+        all[1].name
+    );
+    let played = sockets::play(Plan {
+        engines,
+        statements: traffic::statements(&works, &all, span, 1),
+        works,
+        teams: all.iter().map(|t| t.name.clone()).collect(),
+        own: Some(sockets::own(&TEAMS)),
+        allowances: TEAMS.iter().map(|(_, share)| share * cores).collect(),
+        model,
+        new_connections: false,
+        seed: 1,
+        live: true,
+    });
+    match played {
+        Ok(figures) => {
+            println!(
+                "\n{:<10} {:>7} {:>7} {:>8} {:>8} {:>7} {:>7}",
+                "team", "asked", "served", "in time", "service", "p50 ms", "p99 ms"
+            );
+            for t in &figures.teams {
+                println!(
+                    "{:<10} {:>7} {:>7} {:>8} {:>8.3} {:>7} {:>7}",
+                    t.name,
+                    t.asked,
+                    t.served,
+                    t.in_time,
+                    t.service(),
+                    t.p(0.5),
+                    t.p(0.99)
+                );
+            }
+            println!(
+                "loads run twice: {}; statements unanswered: {}; waits told: {}, {:.0}% of them good",
+                figures.doubled,
+                figures.unanswered,
+                figures.told,
+                100.0 * figures.good as f64 / figures.told.max(1) as f64
+            );
+            ExitCode::SUCCESS
+        }
+        Err(why) => {
+            eprintln!("the demo did not run: {why}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/ivypitch-lab/src/experiments.rs
@@ -0,0 +1,147 @@
+//! The experiments: each plays its runs, prints their figures beside the bounds that must hold, and tells whether
+//! all hold.
+
+use ivypitch::interface::SECOND;
+use ivypitch_teams::window::Way;
+use ivypitch_teams::{Budgets, TeamBudget, WorkloadTerms};
+
+use crate::engine::Model;
+use crate::figures::Figures;
+use crate::fleet::{Fleet, Plan};
+use crate::report::{Bound, Report};
+use crate::sockets;
+use crate::traffic::{self, Flood, Team, Work};
+
+pub struct Experiment {
+    pub name: &'static str,
+    pub about: &'static str,
+    pub run: fn(quick: bool, seed: u64) -> Report,
+}
+
+pub const ALL: &[Experiment] = &[Experiment {
+    name: "team-flood",
+    about: "one of three teams at 10 times its traffic, with and without the teams' queues, in virtual time and on sockets",
+    run: team_flood,
+}];
+
+pub const TEAMS: [(&str, f64); 3] = [("retail", 0.5), ("merchant", 0.35), ("agents", 0.15)];
+/// The team that floods.
+const FLOODS: usize = 1;
+/// Part of the cores that the teams usually ask for.
+const USUAL: f64 = 0.6;
+const TIMES: f64 = 10.0;
+
+pub fn budgets(works: &[Work], shares: &[f64]) -> Budgets {
+    let least = works.iter().map(|w| w.importance).fold(f64::INFINITY, f64::min);
+    let terms = |w: &Work| WorkloadTerms {
+        importance: w.importance,
+        slo_time: w.slo,
+        threads: w.threads,
+        is_load: w.effect == ivypitch::interface::Effect::NonIdempotent,
+        usual_work: w.slo / 3,
+        slack: WorkloadTerms::slack_of(w.slo, w.importance, least),
+        longest_wait: (w.slo as f64 * 0.4) as u64,
+    };
+    Budgets {
+        workloads: works.iter().map(terms).collect(),
+        teams: shares.iter().map(|&share| TeamBudget { share, ..TeamBudget::default() }).collect(),
+        other: TeamBudget::default(),
+        most_queued: 100_000,
+        most_queued_bytes: usize::MAX,
+        preempts_from: 8.0,
+        longest_come_back: 2 * SECOND,
+        window: Way::Gradient,
+    }
+}
+
+pub fn teams(cores: f64, flood: Flood) -> Vec<Team> {
+    let team = |(i, (name, share)): (usize, &(&str, f64))| Team {
+        name: (*name).to_owned(),
+        demand: cores * USUAL * share,
+        flood: if i == FLOODS { flood } else { Flood::None },
+        tells: 1.0,
+    };
+    TEAMS.iter().enumerate().map(team).collect()
+}
+
+/// Without the flood, with it, and with it and the queues: the same seed, the same statements of the others.
+fn team_flood(quick: bool, seed: u64) -> Report {
+    let mut report = Report::new("team-flood", seed);
+    virtual_flood(&mut report, quick, seed);
+    sockets::flood(&mut report, quick, seed);
+    report
+}
+
+fn virtual_flood(report: &mut Report, quick: bool, seed: u64) {
+    let (gateways, engines, seconds) = if quick { (30, 12, 20) } else { (300, 60, 30) };
+    let works = traffic::workloads(1.0);
+    let model = Model { cores: 16.0, ..Model::default() };
+    let cores = engines as f64 * model.cores;
+    let span = seconds * SECOND;
+    let flood = Flood::Step { times: TIMES, from: 5 * SECOND, until: span };
+    let shares: Vec<f64> = TEAMS.iter().map(|t| t.1).collect();
+    let play = |flood: Flood, queues: bool| {
+        let teams = teams(cores, flood);
+        let statements = traffic::statements(&works, &teams, span, seed);
+        let fleet = Fleet::new(Plan {
+            gateways,
+            engines,
+            model: model.clone(),
+            works: &works,
+            teams: teams.iter().map(|t| t.name.clone()).collect(),
+            statements: &statements,
+            budgets: queues.then(|| budgets(&works, &shares)),
+            seed,
+            allowances: shares.iter().map(|share| share * cores).collect(),
+        });
+        fleet.run()
+    };
+    let (calm, without, with) = std::thread::scope(|scope| {
+        let calm = scope.spawn(|| play(Flood::None, true));
+        let without = scope.spawn(|| play(flood, false));
+        let with = play(flood, true);
+        (calm.join(), without.join(), with)
+    });
+    let (Ok(calm), Ok(without)) = (calm, without) else {
+        return report.bounds.push(Bound::new("the runs end", 0.0, 1.0, f64::MAX));
+    };
+    let place = format!("virtual time, {gateways} gateways, {engines} engines, {seconds} s");
+    flood_bounds(report, &place, &calm, &without, &with, cores * seconds as f64);
+    report.run(&place, "no flood, queues", calm);
+    report.run(&place, "flood, no queues", without);
+    report.run(&place, "flood, queues", with);
+}
+
+pub fn flood_bounds(
+    report: &mut Report,
+    place: &str,
+    calm: &Figures,
+    without: &Figures,
+    with: &Figures,
+    core_seconds: f64,
+) {
+    let mut bound = |what: &str, is, least, most| {
+        report.bounds.push(Bound::new(&format!("{place}: {what}"), is, least, most))
+    };
+    let others = || (0..TEAMS.len()).filter(|&t| t != FLOODS);
+    for t in others() {
+        let kept = |f: &Figures| f.teams[t].service() / calm.teams[t].service().max(1e-9);
+        bound(&format!("{} keeps of its service", TEAMS[t].0), kept(with), 0.95, f64::MAX);
+        bound(&format!("{} keeps without the queues", TEAMS[t].0), kept(without), 0.0, f64::MAX);
+    }
+    let used: f64 = with.teams.iter().map(|t| t.used).sum();
+    bound(
+        "the flooding team's part of what is done, over its share",
+        with.teams[FLOODS].used / used / TEAMS[FLOODS].1,
+        0.95,
+        f64::MAX,
+    );
+    bound("cores' time that came to a good end", used / core_seconds, 0.0, 1.0);
+    bound("good estimates", with.good as f64 / with.told.max(1) as f64, 0.9, 1.0);
+    bound("median error of the estimates", with.median_error, 0.0, 0.1);
+    for (name, f) in [("calm", calm), ("without queues", without), ("with queues", with)] {
+        bound(&format!("loads run twice, {name}"), f.doubled as f64, 0.0, 0.0);
+        bound(&format!("statements unanswered, {name}"), f.unanswered as f64, 0.0, 0.0);
+        bound(&format!("statements answered twice, {name}"), f.twice as f64, 0.0, 0.0);
+    }
+}
--- /dev/null
+++ b/crates/ivypitch-lab/src/fleet.rs
@@ -0,0 +1,654 @@
+//! Gateways, engines and clients at large size in virtual time: the decision module and the teams' queues as they
+//! are, the engines as [`crate::engine::Engine`], a network of fixed delay. A seed replays a run exactly. It counts
+//! at the clients and at the engines what no rule may allow.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use hdrhistogram::Histogram;
+use ivypitch::interface::*;
+use ivypitch::rules::Gateway;
+use ivypitch_teams::{Budgets, Claim, Teams};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::engine::{Ended as EngineEnd, Engine, Model, Query};
+use crate::figures::{Figures, TeamFigures};
+use crate::traffic::{Statement, Work};
+
+const NETWORK: Nanos = 500_000;
+/// A refused client tries so often in all.
+const TRIES: u32 = 3;
+/// After the last arrival the run goes on for so long.
+const AFTER: Nanos = 30 * SECOND;
+
+pub struct Plan<'a> {
+    pub gateways: usize,
+    pub engines: usize,
+    pub model: Model,
+    pub works: &'a [Work],
+    pub teams: Vec<String>,
+    pub statements: &'a [Statement],
+    /// `None`: without the teams' queues.
+    pub budgets: Option<Budgets>,
+    pub seed: u64,
+    /// Core-seconds a second that each customer may ask for without being worth less: the module's own allowance.
+    pub allowances: Vec<f64>,
+}
+
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Arrive { stmt: usize },
+    AtEngine { execution: usize },
+    EngineEnds { engine: usize },
+    GiveUp { execution: usize },
+    Told { execution: usize, how: u8 },
+    TimedOut { execution: usize },
+    Wake { gateway: usize, mark: u64 },
+    TeamsWake { gateway: usize },
+    Over { gateway: usize, slot: usize, serial: u64 },
+}
+
+const HOW_GOOD: u8 = 0;
+const HOW_ERROR: u8 = 1;
+const HOW_FULL: u8 = 2;
+const HOW_CANCELLED: u8 = 3;
+const HOW_TIMED_OUT: u8 = 4;
+
+struct Open {
+    stmt: usize,
+    serial: u64,
+    deadline: Nanos,
+    out: Option<usize>,
+    executions: u32,
+    priority: u8,
+    answered: bool,
+    real: Option<Nanos>,
+    took: Option<Nanos>,
+}
+
+struct Execution {
+    gateway: usize,
+    slot: usize,
+    stmt: usize,
+    number: u32,
+    engine: usize,
+    priority: u8,
+    sent: Nanos,
+    timeout: Nanos,
+    work: f64,
+    running: bool,
+    told: bool,
+}
+
+enum Act {
+    Send { slot: usize, engine: usize, timeout: Nanos },
+    Withdraw { slot: usize, execution: u32 },
+    Reject { slot: usize, come_back: Nanos },
+    Abort { slot: usize },
+    Forget { slot: usize },
+    Wake { mark: u64, after: Nanos },
+}
+
+/// What a module asks for; emptied after each call.
+#[derive(Default)]
+struct Desk {
+    acts: Vec<Act>,
+    priorities: Vec<u8>,
+}
+
+impl Output for Desk {
+    fn send(&mut self, stmt: StmtIx, engine: EngineIx, timeout: Nanos) {
+        self.acts.push(Act::Send { slot: stmt.0, engine: engine.0, timeout });
+    }
+    fn withdraw(&mut self, stmt: StmtIx, execution: u32) {
+        self.acts.push(Act::Withdraw { slot: stmt.0, execution });
+    }
+    fn set_terms(&mut self, stmt: StmtIx, _grant_mb: f64, priority: u8) {
+        self.priorities.resize(self.priorities.len().max(stmt.0 + 1), 1);
+        self.priorities[stmt.0] = priority;
+    }
+    fn reject(&mut self, stmt: StmtIx, come_back: Nanos) {
+        self.acts.push(Act::Reject { slot: stmt.0, come_back });
+    }
+    fn abort(&mut self, stmt: StmtIx) {
+        self.acts.push(Act::Abort { slot: stmt.0 });
+    }
+    fn forget(&mut self, stmt: StmtIx) {
+        self.acts.push(Act::Forget { slot: stmt.0 });
+    }
+    fn wake(&mut self, mark: u64, after: Nanos) {
+        self.acts.push(Act::Wake { mark, after });
+    }
+    fn probe(&mut self, _engine: EngineIx) {}
+    fn publish(&mut self, _bytes: &[u8]) {}
+    fn watch_list(&mut self) {}
+    fn log(&mut self, _line: &str) {}
+}
+
+#[derive(Default)]
+struct TeamsDesk {
+    released: Vec<StmtIx>,
+    rejected: Vec<(StmtIx, Nanos)>,
+}
+
+impl ivypitch_teams::Output for TeamsDesk {
+    fn release(&mut self, stmt: StmtIx) {
+        self.released.push(stmt);
+    }
+    fn reject(&mut self, stmt: StmtIx, come_back: Nanos) {
+        self.rejected.push((stmt, come_back));
+    }
+    fn mode(&mut self, _team: Option<usize>, _line: &str) {}
+}
+
+struct Node {
+    module: Gateway,
+    teams: Option<Teams>,
+    desk: Desk,
+    teams_desk: TeamsDesk,
+    slots: Vec<Option<Open>>,
+    free: Vec<usize>,
+    over: Vec<(StmtIx, Option<Nanos>, Option<Nanos>)>,
+    woken_at: Option<Nanos>,
+}
+
+/// What a statement's client knows, and what engines did for it.
+#[derive(Clone, Copy, Default)]
+struct Client {
+    tries: u32,
+    answers: u32,
+    served: Option<Nanos>,
+    may_have_run: bool,
+    doubled: bool,
+}
+
+pub struct Fleet<'a> {
+    plan: Plan<'a>,
+    now: Nanos,
+    events: BinaryHeap<Reverse<(Nanos, u64, Event)>>,
+    order: u64,
+    nodes: Vec<Node>,
+    engines: Vec<Engine>,
+    /// When each engine is next looked at.
+    engine_due: Vec<Option<Nanos>>,
+    executions: Vec<Execution>,
+    clients: Vec<Client>,
+    serial: u64,
+    rng: ChaCha8Rng,
+    used: Vec<f64>,
+}
+
+/// The facts that a deployment of this plan would be told.
+pub fn facts(plan: &Plan, me: usize) -> Deployment {
+    let workload = |w: &Work| Workload {
+        slo_time: w.slo,
+        slo_stretch: w.stretch,
+        statement_timeout: w.timeout,
+        importance: w.importance,
+        effect: w.effect,
+        dedup_group: DedupGroup::All,
+        dedup_window: 0,
+        keeps_order: false,
+        allowed_zones: None,
+        allowed_kinds: None,
+        threads: w.threads,
+        is_load: w.effect == Effect::NonIdempotent,
+        waits_for_loads: false,
+    };
+    let rate = |core_s: &f64| {
+        let parts: f64 = plan.works.iter().map(|w| w.part).sum();
+        let mean: f64 = plan.works.iter().map(|w| w.work * w.part / parts).sum();
+        Customer { allowance_per_s: core_s / mean }
+    };
+    Deployment {
+        gateways: plan.gateways,
+        me,
+        tick: SECOND / 1000,
+        workloads: plan.works.iter().map(workload).collect(),
+        kinds: vec![EngineKind { cores: plan.model.cores, memory_mb: 65536.0 }],
+        customers: plan.allowances.iter().map(rate).collect(),
+        over_share_importance: 0.1,
+        most_held: usize::MAX,
+        report_fields: vec![ReportField::Inflight],
+        report_path: ReportPath::WithAnswers,
+        priority_heeded: true,
+        tells_cost: true,
+        may_withdraw: true,
+        come_back_heeded: true,
+        longest_come_back: 2 * SECOND,
+        max_executions: 4,
+        drain_grace: SECOND / 4,
+        answer_grace: 5_000_000,
+        cold_from: plan.model.cold_from,
+        warm_up: plan.model.warm_up,
+        overload_factor: 2.5,
+        overload_window: 3 * SECOND,
+        execution_budget: Some(ExecutionBudget { window: 5 * SECOND, free: 5.0, per_statement: 0.2 }),
+        ..Deployment::default()
+    }
+}
+
+impl<'a> Fleet<'a> {
+    pub fn new(plan: Plan<'a>) -> Fleet<'a> {
+        let rng = ChaCha8Rng::seed_from_u64(plan.seed);
+        let rows: Vec<EngineRow> = (0..plan.engines)
+            .map(|e| EngineRow {
+                engine: EngineIx(e),
+                id: e as u64 * 7919 + 17,
+                phase: EnginePhase::Ready,
+                weight: 1.0,
+                ..EngineRow::default()
+            })
+            .collect();
+        let engine = |e: usize| {
+            let seed = plan.seed.wrapping_mul(31).wrapping_add(e as u64);
+            Engine::new(plan.model.clone(), ChaCha8Rng::seed_from_u64(seed), 0)
+        };
+        let mut fleet = Fleet {
+            now: 0,
+            events: BinaryHeap::new(),
+            order: 0,
+            nodes: Vec::new(),
+            engines: (0..plan.engines).map(engine).collect(),
+            engine_due: vec![None; plan.engines],
+            executions: Vec::new(),
+            clients: vec![Client::default(); plan.statements.len()],
+            serial: 0,
+            rng,
+            used: vec![0.0; plan.teams.len()],
+            plan,
+        };
+        for me in 0..fleet.plan.gateways {
+            let seed = fleet.plan.seed.wrapping_mul(1_000).wrapping_add(me as u64);
+            let module = Gateway::new(facts(&fleet.plan, me), seed, 0);
+            let teams = fleet.plan.budgets.clone().map(|budgets| Teams::new(budgets, seed, 0));
+            fleet.nodes.push(Node {
+                module,
+                teams,
+                desk: Desk::default(),
+                teams_desk: TeamsDesk::default(),
+                slots: Vec::new(),
+                free: Vec::new(),
+                over: Vec::new(),
+                woken_at: None,
+            });
+            let node = &mut fleet.nodes[me];
+            node.module.engines_listed(0, ListKind::Full, &rows, &mut node.desk);
+            if let Some(teams) = &mut node.teams {
+                let cores = fleet.plan.engines as f64 * fleet.plan.model.cores / fleet.plan.gateways as f64;
+                teams.capacity(0, cores, &mut node.teams_desk);
+            }
+            fleet.settle(me);
+        }
+        for stmt in 0..fleet.plan.statements.len() {
+            fleet.at(fleet.plan.statements[stmt].at, Event::Arrive { stmt });
+        }
+        fleet
+    }
+
+    pub fn run(mut self) -> Figures {
+        let last = self.plan.statements.last().map_or(0, |s| s.at);
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > last + AFTER {
+                break;
+            }
+            self.now = at;
+            self.happen(event);
+        }
+        self.figures()
+    }
+
+    fn at(&mut self, when: Nanos, event: Event) {
+        self.order += 1;
+        self.events.push(Reverse((when.max(self.now), self.order, event)));
+    }
+
+    fn happen(&mut self, event: Event) {
+        let now = self.now;
+        match event {
+            Event::Arrive { stmt } => self.arrive(stmt),
+            Event::AtEngine { execution } => self.at_engine(execution),
+            Event::EngineEnds { engine } => {
+                // Another look was set since, at an earlier time.
+                if self.engine_due[engine] == Some(now) {
+                    self.engine_due[engine] = None;
+                    self.engine_moves(engine);
+                }
+            }
+            Event::GiveUp { execution } => {
+                let engine = self.executions[execution].engine;
+                if std::mem::take(&mut self.executions[execution].running) {
+                    self.engines[engine].withdraw(now, execution as u64);
+                    self.engine_moves(engine);
+                }
+                self.tell(execution, HOW_CANCELLED);
+            }
+            Event::TimedOut { execution } => {
+                if !self.executions[execution].told {
+                    let engine = self.executions[execution].engine;
+                    if std::mem::take(&mut self.executions[execution].running) {
+                        self.engines[engine].withdraw(now, execution as u64);
+                        self.engine_moves(engine);
+                    }
+                    self.told(execution, HOW_TIMED_OUT);
+                }
+            }
+            Event::Told { execution, how } => self.told(execution, how),
+            Event::Wake { gateway, mark } => {
+                let node = &mut self.nodes[gateway];
+                node.module.woken(now, mark, &mut node.desk);
+                self.settle(gateway);
+            }
+            Event::TeamsWake { gateway } => {
+                let node = &mut self.nodes[gateway];
+                node.woken_at = None;
+                if let Some(teams) = &mut node.teams {
+                    teams.woken(now, &mut node.teams_desk);
+                }
+                self.settle(gateway);
+            }
+            Event::Over { gateway, slot, serial } => {
+                let node = &mut self.nodes[gateway];
+                let same = node.slots[slot].as_ref().filter(|open| open.serial == serial && !open.answered);
+                if let Some(stmt) = same.map(|open| open.stmt) {
+                    self.clients[stmt].answers += 1;
+                    self.expire(gateway, slot);
+                }
+            }
+        }
+    }
+
+    fn arrive(&mut self, stmt: usize) {
+        let now = self.now;
+        let asked = &self.plan.statements[stmt];
+        let gateway = self.rng.random_range(0..self.plan.gateways);
+        let deadline = asked.at + self.plan.works[asked.workload].timeout;
+        self.clients[stmt].tries += 1;
+        self.serial += 1;
+        let serial = self.serial;
+        let node = &mut self.nodes[gateway];
+        let slot = node.free.pop().unwrap_or_else(|| {
+            node.slots.push(None);
+            node.slots.len() - 1
+        });
+        node.slots[slot] = Some(Open {
+            stmt,
+            serial,
+            deadline,
+            out: None,
+            executions: 0,
+            priority: 1,
+            answered: false,
+            real: None,
+            took: None,
+        });
+        let (team, workload) = (asked.team, asked.workload);
+        if let Some(teams) = &mut node.teams {
+            let told_work = (asked.told_work * 1e9) as Nanos;
+            let claim = Claim { team, workload, told_work, bytes: 200, deadline };
+            teams.arrive(now, StmtIx(slot), claim, &mut node.teams_desk);
+        } else {
+            self.to_module(gateway, slot);
+        }
+        self.at(deadline + 5_000_000, Event::Over { gateway, slot, serial });
+        self.settle(gateway);
+    }
+
+    fn to_module(&mut self, gateway: usize, slot: usize) {
+        let node = &mut self.nodes[gateway];
+        let Some(open) = &node.slots[slot] else { return };
+        let asked = &self.plan.statements[open.stmt];
+        let arrival = Arrival {
+            workload: asked.workload,
+            key: 0,
+            table_group: asked.group,
+            time_left: open.deadline.saturating_sub(self.now),
+            is_repeat: false,
+            customer: asked.team,
+            estimated_mb: 0.0,
+            estimated_work: (asked.told_work * 1e9) as Nanos,
+        };
+        node.module.arrive(self.now, StmtIx(slot), arrival, &mut node.desk);
+    }
+
+    /// Does all that module and queues of a gateway ask for.
+    fn settle(&mut self, gateway: usize) {
+        loop {
+            let node = &mut self.nodes[gateway];
+            if let Some((ix, real, took)) = node.over.pop() {
+                if let Some(teams) = &mut node.teams {
+                    teams.over(self.now, ix, real, took, &mut node.teams_desk);
+                }
+            } else if let Some(ix) = node.teams_desk.released.pop() {
+                self.to_module(gateway, ix.0);
+            } else if let Some((ix, come_back)) = node.teams_desk.rejected.pop() {
+                self.answer(gateway, ix.0, Some(come_back));
+                self.free(gateway, ix.0);
+            } else if !node.desk.acts.is_empty() {
+                for act in std::mem::take(&mut node.desk.acts) {
+                    self.act(gateway, act);
+                }
+            } else {
+                break;
+            }
+        }
+        let node = &mut self.nodes[gateway];
+        let wake = node.teams.as_ref().and_then(Teams::next_wake);
+        if let Some(at) = wake.filter(|&at| node.woken_at.is_none_or(|set| at < set)) {
+            node.woken_at = Some(at);
+            self.at(at, Event::TeamsWake { gateway });
+        }
+    }
+
+    fn act(&mut self, gateway: usize, act: Act) {
+        let now = self.now;
+        match act {
+            Act::Send { slot, engine, timeout } => {
+                let priority = self.nodes[gateway].desk.priorities.get(slot).copied().unwrap_or(1);
+                let execution = self.executions.len();
+                let Some(open) = &mut self.nodes[gateway].slots[slot] else { return };
+                open.priority = priority;
+                open.out = Some(execution);
+                self.executions.push(Execution {
+                    gateway,
+                    slot,
+                    stmt: open.stmt,
+                    number: open.executions,
+                    engine,
+                    priority,
+                    sent: now,
+                    timeout: now + timeout,
+                    work: 0.0,
+                    running: false,
+                    told: false,
+                });
+                open.executions += 1;
+                self.at(now + NETWORK, Event::AtEngine { execution });
+                self.at(now + timeout, Event::TimedOut { execution });
+            }
+            Act::Withdraw { slot, execution } => {
+                let out = self.nodes[gateway].slots[slot].as_ref().and_then(|open| open.out);
+                if let Some(out) = out.filter(|&out| self.executions[out].number == execution) {
+                    self.at(now + NETWORK, Event::GiveUp { execution: out });
+                }
+            }
+            Act::Reject { slot, come_back } => self.answer(gateway, slot, Some(come_back)),
+            Act::Abort { slot } => self.answer(gateway, slot, None),
+            Act::Forget { slot } => {
+                let node = &mut self.nodes[gateway];
+                if let Some(open) = &node.slots[slot] {
+                    node.over.push((StmtIx(slot), open.real, open.took));
+                }
+                self.free(gateway, slot);
+            }
+            Act::Wake { mark, after } => self.at(now + after, Event::Wake { gateway, mark }),
+        }
+    }
+
+    fn free(&mut self, gateway: usize, slot: usize) {
+        let node = &mut self.nodes[gateway];
+        if node.slots[slot].take().is_some() {
+            node.free.push(slot);
+        }
+    }
+
+    /// A final answer that is no result: `Some`: refused, and when to come back.
+    fn answer(&mut self, gateway: usize, slot: usize, refused: Option<Nanos>) {
+        let Some(open) = &mut self.nodes[gateway].slots[slot] else { return };
+        if std::mem::replace(&mut open.answered, true) {
+            self.clients[open.stmt].answers += 2;
+            return;
+        }
+        let stmt = open.stmt;
+        self.clients[stmt].answers += 1;
+        let asked = &self.plan.statements[stmt];
+        let Some(come_back) = refused else { return };
+        let again = self.now + 2 * NETWORK + come_back;
+        let in_time = again < asked.at + self.plan.works[asked.workload].timeout / 2;
+        if self.clients[stmt].tries < TRIES && in_time {
+            self.at(again, Event::Arrive { stmt });
+        }
+    }
+
+    fn expire(&mut self, gateway: usize, slot: usize) {
+        let node = &mut self.nodes[gateway];
+        if let Some(open) = &mut node.slots[slot] {
+            open.answered = true;
+        }
+        let left = node.teams.as_mut().is_some_and(|t| t.leave(self.now, StmtIx(slot), &mut node.teams_desk));
+        if left {
+            self.free(gateway, slot);
+        } else {
+            node.module.expired(self.now, StmtIx(slot), &mut node.desk);
+        }
+        self.settle(gateway);
+    }
+
+    fn at_engine(&mut self, execution: usize) {
+        let now = self.now;
+        let e = &self.executions[execution];
+        if e.told || now >= e.timeout {
+            return;
+        }
+        let (stmt, engine) = (e.stmt, e.engine);
+        let asked = &self.plan.statements[stmt];
+        let work = &self.plan.works[asked.workload];
+        let query = Query {
+            id: execution as u64,
+            work: asked.work,
+            threads: work.threads,
+            priority: e.priority,
+            group: asked.group,
+        };
+        if self.engines[engine].start(now, query) {
+            let client = &mut self.clients[stmt];
+            client.doubled |= client.may_have_run && work.effect == Effect::NonIdempotent;
+            client.may_have_run = true;
+            self.executions[execution].running = true;
+            self.engine_moves(engine);
+        } else {
+            self.tell(execution, HOW_FULL);
+        }
+    }
+
+    /// Takes out what has ended at an engine and looks again at its next end.
+    fn engine_moves(&mut self, engine: usize) {
+        for (id, end) in self.engines[engine].advance(self.now) {
+            let execution = id as usize;
+            self.executions[execution].running = false;
+            let how = match end {
+                EngineEnd::Good(work) => {
+                    self.executions[execution].work = work;
+                    self.used[self.plan.statements[self.executions[execution].stmt].team] += work;
+                    HOW_GOOD
+                }
+                EngineEnd::Error => HOW_ERROR,
+            };
+            self.tell(execution, how);
+        }
+        let next = self.engines[engine].next_end();
+        if let Some(at) = next.filter(|&at| self.engine_due[engine].is_none_or(|due| at < due)) {
+            self.engine_due[engine] = Some(at);
+            self.at(at, Event::EngineEnds { engine });
+        }
+    }
+
+    fn tell(&mut self, execution: usize, how: u8) {
+        self.at(self.now + NETWORK, Event::Told { execution, how });
+    }
+
+    fn told(&mut self, execution: usize, how: u8) {
+        let now = self.now;
+        let e = &mut self.executions[execution];
+        if std::mem::replace(&mut e.told, true) {
+            return;
+        }
+        let (gateway, slot, engine, work) = (e.gateway, e.slot, e.engine, e.work);
+        let took = now - e.sent;
+        let outcome = match how {
+            HOW_GOOD => Outcome::Completed,
+            HOW_ERROR => Outcome::Error,
+            HOW_FULL => Outcome::Full,
+            HOW_CANCELLED => Outcome::Cancelled,
+            _ => Outcome::TimedOut,
+        };
+        let node = &mut self.nodes[gateway];
+        let Some(open) = node.slots[slot].as_mut().filter(|open| open.out == Some(execution)) else { return };
+        open.out = None;
+        let threads = self.plan.works[self.plan.statements[open.stmt].workload].threads;
+        if !outcome.never_ran() {
+            let on_engine = (took as f64 * threads) as Nanos;
+            let real = if how == HOW_GOOD { (work * 1e9) as Nanos } else { on_engine };
+            open.real = Some(open.real.unwrap_or(0) + real);
+        }
+        if how == HOW_GOOD {
+            open.took = Some(took);
+            if !std::mem::replace(&mut open.answered, true) {
+                self.clients[open.stmt].answers += 1;
+                self.clients[open.stmt].served = Some(now + NETWORK);
+            }
+        }
+        let report = [self.engines[engine].running() as f32];
+        let ended = Ended {
+            execution: e.number,
+            engine: EngineIx(engine),
+            outcome,
+            took,
+            closed: open.answered,
+            true_cost: (how == HOW_GOOD).then_some((work * 1000.0, 0.0)),
+            report: if matches!(how, HOW_GOOD | HOW_ERROR) { &report } else { &[] },
+        };
+        node.module.execution_ended(now, StmtIx(slot), &ended, &mut node.desk);
+        self.settle(gateway);
+    }
+
+    fn figures(self) -> Figures {
+        let mut teams: Vec<TeamFigures> = self.plan.teams.iter().map(|name| TeamFigures::new(name)).collect();
+        let (mut doubled, mut unanswered, mut twice) = (0, 0, 0);
+        for (client, asked) in self.clients.iter().zip(self.plan.statements) {
+            let work = &self.plan.works[asked.workload];
+            let took = client.served.map(|at| at - asked.at);
+            teams[asked.team].count(work.importance, asked.slo, took, client.tries);
+            doubled += u64::from(client.doubled);
+            unanswered += u64::from(client.answers < client.tries);
+            twice += u64::from(client.answers > client.tries);
+        }
+        for (team, used) in teams.iter_mut().zip(&self.used) {
+            team.used = *used;
+        }
+        let mut figures = Figures { teams, doubled, unanswered, twice, ..Figures::default() };
+        let errors = Histogram::new_with_bounds(1, 10_000, 2);
+        let mut errors = errors.unwrap_or_else(|_| unreachable!());
+        for node in &self.nodes {
+            if let Some(teams) = &node.teams {
+                figures.told += teams.record().told;
+                figures.good += teams.record().good;
+                let _ = errors.add(&teams.record().errors_percent);
+            }
+        }
+        figures.median_error = errors.value_at_quantile(0.5) as f64 / 100.0;
+        figures.wasted = self.engines.iter().map(|e| e.wasted).sum();
+        figures
+    }
+}
--- a/crates/ivypitch-lab/src/lib.rs
+++ b/crates/ivypitch-lab/src/lib.rs
@@ -1,4 +1,13 @@
-//! The laboratory.
+//! The laboratory: engines as values in virtual time, and over sockets in real time; whole fleets of gateways in
+//! virtual time; open-loop traffic by seed; experiments with bounds; reports. Its constants are its own.
 
 pub mod command;
+pub mod demo;
+pub mod engine;
+pub mod experiments;
+pub mod figures;
+pub mod fleet;
+pub mod report;
+pub mod sockets;
 pub mod stand_ins;
+pub mod traffic;
--- /dev/null
+++ b/crates/ivypitch-lab/src/report.rs
@@ -0,0 +1,164 @@
+//! Reports: figures beside the bounds that must hold, as text, JSON and a plot.
+
+use std::fmt::Write;
+use std::path::Path;
+
+use serde::Serialize;
+
+use crate::figures::Figures;
+
+#[derive(Debug, Serialize)]
+pub struct Bound {
+    pub what: String,
+    pub is: f64,
+    pub least: f64,
+    pub most: f64,
+}
+
+impl Bound {
+    pub fn new(what: &str, is: f64, least: f64, most: f64) -> Bound {
+        Bound { what: what.to_owned(), is, least, most }
+    }
+
+    pub fn holds(&self) -> bool {
+        self.is >= self.least && self.is <= self.most
+    }
+}
+
+#[derive(Debug, Serialize)]
+pub struct Run {
+    pub place: String,
+    pub name: String,
+    pub figures: Figures,
+}
+
+#[derive(Debug, Serialize)]
+pub struct Report {
+    pub experiment: String,
+    pub seed: u64,
+    pub runs: Vec<Run>,
+    pub bounds: Vec<Bound>,
+}
+
+impl Report {
+    pub fn new(experiment: &str, seed: u64) -> Report {
+        Report { experiment: experiment.to_owned(), seed, runs: Vec::new(), bounds: Vec::new() }
+    }
+
+    pub fn run(&mut self, place: &str, name: &str, figures: Figures) {
+        self.runs.push(Run { place: place.to_owned(), name: name.to_owned(), figures });
+    }
+
+    pub fn holds(&self) -> bool {
+        !self.bounds.is_empty() && self.bounds.iter().all(Bound::holds)
+    }
+
+    pub fn text(&self) -> String {
+        let mut text = format!("{} seed {}\n", self.experiment, self.seed);
+        let mut place = "";
+        for run in &self.runs {
+            if place != run.place {
+                place = &run.place;
+                let _ = writeln!(text, "\n{place}");
+                let _ = writeln!(
+                    text,
+                    "  {:<18} {:<10} {:>7} {:>7} {:>7} {:>8} {:>9} {:>7} {:>7} {:>7}",
+                    "run",
+                    "team",
+                    "asked",
+                    "tries",
+                    "served",
+                    "in time",
+                    "service",
+                    "core-s",
+                    "p50 ms",
+                    "p99 ms"
+                );
+            }
+            for team in &run.figures.teams {
+                let _ = writeln!(
+                    text,
+                    "  {:<18} {:<10} {:>7} {:>7} {:>7} {:>8} {:>9.3} {:>7.0} {:>7} {:>7}",
+                    run.name,
+                    team.name,
+                    team.asked,
+                    team.tries,
+                    team.served,
+                    team.in_time,
+                    team.service(),
+                    team.used,
+                    team.p(0.5),
+                    team.p(0.99)
+                );
+            }
+            if run.figures.told > 0 {
+                let f = &run.figures;
+                let good = f.good as f64 / f.told as f64;
+                let _ = writeln!(
+                    text,
+                    "  {:<18} {} waits told, {good:.3} good, median error {:.3}",
+                    run.name, f.told, f.median_error
+                );
+            }
+        }
+        text.push('\n');
+        for bound in &self.bounds {
+            let holds = if bound.holds() { "holds" } else { "FAILS" };
+            let wanted = match (bound.least, bound.most) {
+                (least, most) if least == most => format!("{least}"),
+                (least, most) if most > 1e9 && least <= 0.0 => "told only".to_owned(),
+                (least, most) if most > 1e9 => format!("at least {least}"),
+                (least, most) => format!("{least} to {most}"),
+            };
+            let _ = writeln!(text, "{holds}  {}: {:.3} ({wanted})", bound.what, bound.is);
+        }
+        text
+    }
+
+    /// Service by team and run as bars.
+    pub fn svg(&self) -> String {
+        const BAR: usize = 22;
+        let rows: Vec<(String, f64)> = self
+            .runs
+            .iter()
+            .flat_map(|run| {
+                let (name, place) = (&run.name, &run.place);
+                let of = |t: &crate::figures::TeamFigures| {
+                    (format!("{}, {name} ({})", t.name, place.split(',').next().unwrap_or("")), t.service())
+                };
+                run.figures.teams.iter().map(of).collect::<Vec<_>>()
+            })
+            .collect();
+        let height = rows.len() * BAR + 40;
+        let mut svg = format!(
+            "<svg xmlns=\"http://www.w3.org/2000/svg\" width=\"900\" height=\"{height}\" font-family=\"sans-serif\" \
+             font-size=\"12\"><rect width=\"900\" height=\"{height}\" fill=\"white\"/><text x=\"10\" y=\"20\">{}: importance \
+             served within the SLO time, seed {}</text>",
+            self.experiment, self.seed
+        );
+        for (i, (name, service)) in rows.iter().enumerate() {
+            let y = 32 + i * BAR;
+            let colour = if name.contains("no queues") { "#c06030" } else { "#3070a0" };
+            let _ = write!(
+                svg,
+                "<text x=\"10\" y=\"{}\">{name}</text><rect x=\"360\" y=\"{y}\" width=\"{:.0}\" height=\"{}\" \
+                 fill=\"{colour}\"/><text x=\"{:.0}\" y=\"{}\">{service:.3}</text>",
+                y + 14,
+                service * 460.0,
+                BAR - 6,
+                366.0 + service * 460.0,
+                y + 14
+            );
+        }
+        svg + "</svg>\n"
+    }
+
+    /// The report as files of a folder.
+    pub fn write(&self, folder: &Path) -> std::io::Result<()> {
+        std::fs::create_dir_all(folder)?;
+        let name = |ending: &str| folder.join(format!("{}.{ending}", self.experiment));
+        std::fs::write(name("txt"), self.text())?;
+        std::fs::write(name("json"), serde_json::to_string_pretty(self)?)?;
+        std::fs::write(name("svg"), self.svg())
+    }
+}
--- a/crates/ivypitch-lab/src/stand_ins.rs
+++ b/crates/ivypitch-lab/src/stand_ins.rs
@@ -291,22 +291,30 @@
 
 /// The program with this configuration, its log, and where the configuration is.
 pub fn spawn(config: &str) -> (Child, Seen<String>, PathBuf) {
+    spawn_with(config, None)
+}
+
+/// The same with own settings, as JSON.
+pub fn spawn_with(config: &str, own: Option<&str>) -> (Child, Seen<String>, PathBuf) {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let name = format!("gateway-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config).unwrap();
-    let mut child = Command::new(program())
-        .arg("serve")
-        .env("PROXY_CONFIG", &path)
-        .stderr(Stdio::piped())
-        .spawn()
-        .unwrap();
+    let mut command = Command::new(program());
+    command.arg("serve").env("PROXY_CONFIG", &path);
+    let own_path = path.with_extension("own.json");
+    if let Some(own) = own {
+        std::fs::write(&own_path, own).unwrap();
+        command.env("IVYPITCH_OWN", &own_path);
+    }
+    let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
     let log = Seen::new();
     let (lines, seen, file) =
         (BufReader::new(child.stderr.take().unwrap()).lines(), log.clone(), path.clone());
     thread::spawn(move || {
         lines.map_while(Result::ok).for_each(|line| seen.push(line));
         let _ = std::fs::remove_file(file);
+        let _ = std::fs::remove_file(own_path);
     });
     (child, log, path)
 }
--- a/crates/ivypitch-teams/src/window.rs
+++ b/crates/ivypitch-teams/src/window.rs
@@ -5,9 +5,11 @@
 
 /// Threads a core that the window starts with: engines are at work with one and a half, and still fast.
 const START: f64 = 1.5;
-/// Its ends, in threads a core of this gateway's share.
-const LEAST: f64 = 0.8;
-const MOST: f64 = 3.0;
+/// And this many times the root of those threads: a small share needs more room for chance than a large one.
+const HEADROOM: f64 = 2.0;
+/// Its ends, as parts of where it starts.
+const LEAST: f64 = 0.4;
+const MOST: f64 = 2.0;
 /// How often it is looked at, and by how many executions at least.
 const PERIOD: Nanos = 100_000_000;
 const FEWEST: u32 = 8;
@@ -79,19 +81,25 @@
 
     /// The engines that are ready have changed. Without any, nothing is released.
     pub fn set_cores(&mut self, cores: f64) {
-        let per_core =
-            if self.cores > 0.0 && self.way != Way::Fixed { self.threads / self.cores } else { START };
+        let keeps = self.cores > 0.0 && self.way != Way::Fixed;
+        let part = if keeps { self.threads / self.start() } else { 1.0 };
         self.cores = cores;
-        self.threads = per_core.clamp(LEAST, MOST) * cores;
+        self.threads = part * self.start();
         self.hold_ends();
     }
 
+    fn start(&self) -> f64 {
+        let threads = START * self.cores;
+        if self.way == Way::Fixed { threads } else { threads + HEADROOM * threads.sqrt() }
+    }
+
     fn hold_ends(&mut self) {
         if self.cores <= 0.0 {
             self.threads = 0.0;
             return;
         }
-        self.threads = self.threads.clamp(LEAST * self.cores, MOST * self.cores).max(self.widest);
+        let start = self.start();
+        self.threads = self.threads.clamp(LEAST * start, MOST * start).max(self.widest);
     }
 
     pub fn was_full(&mut self) {
