The order of teams: within a share first, beyond it by a paced clock whose waits can be told

Cause: plain start-time fair queueing made a team's own reports hold back its lookups, and waits followed from when single executions end, so that nobody could tell them.

Teams that ask for no more than their share and hold no more than their part go first, on room that others borrowed if need be; all others wait for virtual time, which goes by a clock at the measured pace of the work done. What charges were wrong by is settled with later releases; estimates are corrected by how the last ones came true. The window starts with less and closes sooner.

--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -203,12 +203,14 @@
                 queues.over(now, stmt, real, took);
                 continue;
             }
-            match queues.next() {
-                Some(Act::Release(stmt)) => {
+            match queues.next_act() {
+                Some(Act::Release(stmt, within)) => {
                     let by = world.answer_by;
                     let Some(open) = world.stmts.get(stmt) else { continue };
                     let left = open.deadline.min(by).saturating_sub(now);
-                    let arrival = arrival(&open.fields, open.workload, open.customer, left);
+                    // A team within its share has no allowance to go over: the own file's shares stand in for it.
+                    let customer = if within { usize::MAX } else { open.customer };
+                    let arrival = arrival(&open.fields, open.workload, customer, left);
                     gateway.arrive(now, stmt, arrival, world);
                 }
                 Some(Act::Reject(stmt, come_back)) => {
--- a/crates/ivypitch-gateway/src/actors/queues.rs
+++ b/crates/ivypitch-gateway/src/actors/queues.rs
@@ -13,7 +13,8 @@
 /// What the teams' queues ask for.
 #[derive(Clone, Copy, Debug)]
 pub enum Act {
-    Release(StmtIx),
+    /// Its team asks for no more than its share, or for more.
+    Release(StmtIx, bool),
     Reject(StmtIx, Nanos),
 }
 
@@ -24,8 +25,8 @@
 }
 
 impl Output for Acts {
-    fn release(&mut self, stmt: StmtIx) {
-        self.asked.push_back(Act::Release(stmt));
+    fn release(&mut self, stmt: StmtIx, within: bool) {
+        self.asked.push_back(Act::Release(stmt, within));
     }
 
     fn reject(&mut self, stmt: StmtIx, come_back: Nanos) {
@@ -51,7 +52,7 @@
     }
 
     /// The next thing asked for.
-    pub fn next(&mut self) -> Option<Act> {
+    pub fn next_act(&mut self) -> Option<Act> {
         self.acts.asked.pop_front()
     }
 
--- a/crates/ivypitch-lab/src/figures.rs
+++ b/crates/ivypitch-lab/src/figures.rs
@@ -16,6 +16,9 @@
     pub kept: f64,
     /// Core-seconds that engines did for it, to a good end.
     pub used: f64,
+    /// Refusals by the queues and by the module, where the run can tell them apart.
+    pub refused_waiting: u64,
+    pub refused_later: u64,
     #[serde(skip)]
     pub latency_ms: Histogram<u64>,
 }
@@ -32,6 +35,8 @@
             importance: 0.0,
             kept: 0.0,
             used: 0.0,
+            refused_waiting: 0,
+            refused_later: 0,
             latency_ms: latency.unwrap_or_else(|_| unreachable!()),
         }
     }
--- a/crates/ivypitch-lab/src/sockets.rs
+++ b/crates/ivypitch-lab/src/sockets.rs
@@ -36,6 +36,8 @@
 const LARGEST: usize = 1 << 20;
 /// Sessions that a team's clients keep idle.
 const KEPT: usize = 64;
+/// And for how long.
+const IDLE: Duration = Duration::from_secs(4);
 
 pub struct Plan {
     pub engines: usize,
@@ -304,6 +306,7 @@
 struct Session {
     stream: Async<TcpStream>,
     input: BytesMut,
+    used: Instant,
 }
 
 enum Answered {
@@ -317,7 +320,7 @@
     async fn open(address: SocketAddr) -> io::Result<Session> {
         let stream = Async::<TcpStream>::connect(address).await?;
         stream.get_ref().set_nodelay(true)?;
-        let mut session = Session { stream, input: BytesMut::new() };
+        let mut session = Session { stream, input: BytesMut::new(), used: Instant::now() };
         (&session.stream).write_all(&login("app")).await?;
         session.packet().await?;
         match session.packet().await?.first() {
@@ -370,6 +373,8 @@
     tries: u32,
     answers: u32,
     served: Option<Nanos>,
+    refused: u32,
+    failed: u32,
 }
 
 struct Clients {
@@ -399,6 +404,11 @@
             if answered.is_ok() {
                 self.told.borrow_mut()[stmt].answers += 1;
             }
+            match &answered {
+                Ok(Answered::Refused(_)) => self.told.borrow_mut()[stmt].refused += 1,
+                Ok(Answered::Failed) => self.told.borrow_mut()[stmt].failed += 1,
+                _ => {}
+            }
             match answered {
                 Ok(Answered::Rows) => {
                     self.told.borrow_mut()[stmt].served = Some(self.shared.now());
@@ -416,7 +426,12 @@
     async fn once(&self, stmt: usize, attempt: u32, left: u64) -> io::Result<Answered> {
         let asked = &self.shared.statements[stmt];
         let work = &self.shared.works[asked.workload];
-        let kept = self.idle.borrow_mut()[asked.team].pop();
+        let kept = {
+            let mut idle = self.idle.borrow_mut();
+            idle[asked.team].retain(|session| session.used.elapsed() < IDLE);
+            idle[asked.team].pop()
+        };
+        let was_kept = kept.is_some();
         let mut session = match kept {
             Some(session) => session,
             None => Session::open(self.address).await?,
@@ -429,7 +444,15 @@
             asked.told_work * 1000.0,
             asked.group
         );
-        let answered = session.ask(&text).await?;
+        let answered = match session.ask(&text).await {
+            // It crossed the close of a connection that had been idle: once more, on a new one.
+            Err(_) if was_kept => {
+                session = Session::open(self.address).await?;
+                session.ask(&text).await?
+            }
+            answered => answered?,
+        };
+        session.used = Instant::now();
         let mut idle = self.idle.borrow_mut();
         if !self.new_connections && idle[asked.team].len() < KEPT {
             idle[asked.team].push(session);
@@ -615,6 +638,8 @@
         let work = &plan.works[asked.workload];
         let took = told.served.map(|at| at.saturating_sub(begun + asked.at));
         teams[asked.team].count(work.importance, asked.slo, took, told.tries);
+        teams[asked.team].refused_waiting += u64::from(told.refused);
+        teams[asked.team].refused_later += u64::from(told.failed);
         figures.doubled += u64::from(work.effect == Effect::NonIdempotent && starts[stmt] > 1);
         figures.unanswered += u64::from(told.answers < told.tries);
     }
--- a/crates/ivypitch-lab/src/stand_ins.rs
+++ b/crates/ivypitch-lab/src/stand_ins.rs
@@ -23,9 +23,15 @@
     }
 }
 
+impl<T> Default for Seen<T> {
+    fn default() -> Self {
+        Seen(Arc::new((Mutex::new(Vec::new()), Condvar::new())))
+    }
+}
+
 impl<T: Clone> Seen<T> {
     pub fn new() -> Self {
-        Seen(Arc::new((Mutex::new(Vec::new()), Condvar::new())))
+        Seen::default()
     }
     pub fn push(&self, what: T) {
         self.0.0.lock().unwrap().push(what);
--- a/crates/ivypitch-teams/src/ranks.rs
+++ b/crates/ivypitch-teams/src/ranks.rs
@@ -19,8 +19,9 @@
         self.heap.first().map(|&(_, team)| team as usize)
     }
 
-    pub fn holds(&self, team: usize) -> bool {
-        self.places.get(team).is_some_and(|&place| place != OUT)
+    pub fn rank(&self, team: usize) -> Option<Rank> {
+        let place = self.places.get(team).filter(|&&place| place != OUT)?;
+        Some(self.heap[*place as usize].0)
     }
 
     pub fn len(&self) -> usize {
--- a/crates/ivypitch-teams/src/teams.rs
+++ b/crates/ivypitch-teams/src/teams.rs
@@ -1,7 +1,9 @@
 //! The hub: what comes in, waits, goes on to the decision module, is pushed out or turned away.
 //!
-//! Across teams: start-time fair queueing in virtual time, by share. Within a team: the workload whose first
-//! statement is due first, where due is its coming and the workload's slack; so age decides in the end.
+//! Across teams: those whose asking is within their share go before all others. Those beyond it are served by
+//! start-time fair queueing in virtual time, by share; virtual time goes by a clock, at the pace at which the engines
+//! get their work done, so that a wait can be told. Within a team: the workload whose first statement is due first, where due is its coming and the
+//! workload's slack; so age decides in the end.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -14,8 +16,31 @@
 use crate::wheel::{Handle, Wheel};
 use crate::window::Window;
 
-/// A team that lent its share gets back in beyond the window, up to its own part of it and this part in all.
-const OVER_WINDOW: f64 = 1.25;
+/// Below this part of the window whoever is first of those who wait goes at once, uncharged: engines are not left
+/// idle for the order's sake.
+const RELAXED: f64 = 0.6;
+/// Up to these parts of it the clock lets statements go, and teams within their share get back what they lent without
+/// waiting for those who borrowed it; each of these has so many times its own part of the window.
+const FULL: f64 = 1.5;
+const CALLED_BACK: f64 = 2.0;
+const OWN_PART: f64 = 1.5;
+/// And room for so many of the widest statements at least.
+const OWN_STATEMENTS: f64 = 3.0;
+/// A team is within its share by what it asked for in about so many seconds, and may have asked for so many of its
+/// costliest usual statements more: a share is an average, and one report no flood.
+const ASKED_FADE: f64 = 10.0;
+const LUMPS: f64 = 6.0;
+/// And it is within it again once it asks for less than this part of that.
+const BACK_WITHIN: f64 = 0.9;
+/// What the clock's pace is corrected by, as a part, where what is out is off the window by so much of it.
+const PULL: f64 = 0.5;
+/// Part of the cores' promise that can be had, and the least of it that the pace falls to.
+const PROMISE: f64 = 0.95;
+const LEAST_PACE: f64 = 0.05;
+/// Of what a team's charges were wrong by, this part goes with each of its next releases, but no more back than
+/// half of the charge: one statement's surprise does not hold all behind it.
+const SETTLED_AT_ONCE: f64 = 0.1;
+const MOST_BACK: f64 = 0.5;
 /// A lane that preempts goes first in so many of so many releases; the others' first one goes in between.
 const URGENT_IN_A_ROW: u8 = 3;
 /// A preempting statement pushes out so many waiting ones at most: each was paid for by its own arrival.
@@ -32,8 +57,14 @@
 const LAST_PART: u64 = 8;
 /// What was measured of a team's pace holds so long after it last had something waiting.
 const PACE_HOLDS: Nanos = 2_000_000_000;
+/// What comes and what is done fades in so many seconds.
+const COMING_FADE: f64 = 5.0;
 /// A mode of the log is over after so long without its sign.
 const CALM_AFTER: Nanos = 5_000_000_000;
+/// The classes of ranks: teams within their share, those that the clock paces, and those without a share.
+const WITHIN: u8 = 0;
+const PACED: u8 = 1;
+const LEFT_OVER: u8 = 2;
 /// Virtual time counts work over share; a share of 1 alone moves it as fast as work.
 const LEAST_SHARE: f64 = 1e-6;
 
@@ -49,8 +80,8 @@
 }
 
 pub trait Output {
-    /// It goes to the decision module now.
-    fn release(&mut self, stmt: StmtIx);
+    /// It goes to the decision module now; its team asks for no more than its share, or for more.
+    fn release(&mut self, stmt: StmtIx, within: bool);
     /// Final: it never left the queue, so trying again is harmless, after `come_back` where that is above 0. The
     /// index may be given to another.
     fn reject(&mut self, stmt: StmtIx, come_back: Nanos);
@@ -63,9 +94,9 @@
     /// Told of, not yet in line.
     Coming,
     Queued,
-    /// Gone on to the module within its team's own part of the window.
+    /// Gone on to the module, its team within its share.
     Released,
-    /// The same on room that other teams leave idle.
+    /// The same beyond its team's share, on room that others leave idle.
     Lent,
     /// Answered, left or rejected: its ticket is dropped.
     Over,
@@ -86,12 +117,16 @@
     timer: Option<Handle>,
     /// What it was told of its wait; 0: it did not queue.
     told_wait: Nanos,
+    /// The same before its correction by how such words came true.
+    estimated: Nanos,
 }
 
 #[derive(Clone, Copy)]
 enum Due {
     /// A queued statement has waited as long as it may.
     Waited(StmtIx),
+    /// The clock has come to the first team's turn.
+    Turn,
     /// A team's budget of work holds something again.
     Filled(u32),
 }
@@ -113,7 +148,13 @@
     coming: Vec<Rate>,
     /// Virtual start of its next statement.
     tag: u64,
-    last_charge: u64,
+    /// What it was charged too little, in ns of work, to be settled with its next releases.
+    debt: f64,
+    /// Charged work that it asked for.
+    asked: Rate,
+    within: bool,
+    /// It held more than its part as the window was full; in line with others until it holds less.
+    beyond_by_hold: bool,
     bucket: Bucket,
     filling: Option<Handle>,
     queued: usize,
@@ -160,16 +201,23 @@
     wheel: Wheel<Due>,
     window: Window,
     out: f64,
+    /// Of these, released beyond their teams' shares.
+    lent: f64,
     queued: usize,
     bytes: usize,
     virtual_now: u64,
-    farthest_tag: u64,
     shares: f64,
+    /// Work done (ns) for teams while they had something waiting, and the rate of all others' work.
     pace: Pace,
-    paced_at: Nanos,
-    paced_tag: u64,
-    /// Somebody waited for room when last looked at.
+    done_for_waiting: f64,
+    done_for_others: Rate,
+    clock_at: Nanos,
+    /// Somebody waited for room when last looked at, and whether the clock stood since there was none.
     contended: bool,
+    blocked: bool,
+    /// The shares of those who wait.
+    waiting_shares: f64,
+    turn: Option<Handle>,
     record: Record,
     seed: u64,
     chances: u64,
@@ -191,15 +239,19 @@
             wheel: Wheel::new(now),
             window: Window::new(budgets.window, widest),
             out: 0.0,
+            lent: 0.0,
             queued: 0,
             bytes: 0,
             virtual_now: 0,
-            farthest_tag: 0,
             shares: 0.0,
             pace: Pace::default(),
-            paced_at: now,
-            paced_tag: 0,
+            done_for_waiting: 0.0,
+            done_for_others: Rate::fading(COMING_FADE),
+            clock_at: now,
             contended: false,
+            blocked: false,
+            waiting_shares: 0.0,
+            turn: None,
             record: Record::default(),
             seed,
             chances: 0,
@@ -236,17 +288,23 @@
             bytes: claim.bytes,
             timer: None,
             told_wait: 0,
+            estimated: 0,
         };
         if self.tickets.len() <= ix.0 {
             self.tickets.resize_with(ix.0 + 1, || None);
         }
         self.tickets[ix.0] = Some(ticket);
-        self.rows[claim.team].coming[workload].add(now, work as f64 / 1e9);
+        self.rows[claim.team].asked.add(now, work as f64);
+        self.see_whether_within(now, claim.team);
         self.turn(now, ix, Place::Queued);
         self.dispatch(now, out);
         if self.is_queued(ix) {
             self.keep_or_reject(now, ix, out);
         }
+        if self.tickets[ix.0].is_some() {
+            // What was sent away goes ahead of nobody.
+            self.rows[claim.team].coming[workload].add(now, work as f64);
+        }
     }
 
     /// It did not go at once: it may stay where bounds and its time allow.
@@ -270,6 +328,7 @@
         let timer = self.wheel.set(until, Due::Waited(ix));
         if let Some(ticket) = &mut self.tickets[ix.0] {
             ticket.told_wait = wait.max(1);
+            ticket.estimated = (wait as f64 / self.record.bias(now)) as Nanos;
             ticket.timer = Some(timer);
         }
         self.waited_at = now;
@@ -310,10 +369,10 @@
             return;
         }
         let (team, workload, charged) = (ticket.team as usize, usize::from(ticket.workload), ticket.work);
-        let told = ticket.told;
+        let (told, lent) = (ticket.told, ticket.place == Place::Lent);
         let threads = self.budgets.workloads[workload].threads.max(1.0);
         self.turn(now, ix, Place::Over);
-        self.settle(now, team, charged, real.unwrap_or(0));
+        self.settle(now, team, lent, charged, real.unwrap_or(0));
         if let Some(real) = real {
             self.learn(team, workload, told, real);
             if let Some(took) = took {
@@ -339,6 +398,9 @@
             }
             self.rank(team);
         }
+        let paced = |&team: &usize| self.ranks.rank(team).is_some_and(|(class, _)| class == PACED);
+        let waiting = (0..self.rows.len()).filter(paced);
+        self.waiting_shares = waiting.map(|team| self.budgets.team(team).share).sum();
         self.count_shares();
         self.dispatch(now, out);
     }
@@ -370,6 +432,7 @@
                         self.reject(now, ix, out);
                     }
                 }
+                Due::Turn => self.turn = None,
                 Due::Filled(team) => {
                     self.rows[team as usize].filling = None;
                     self.rank(team as usize);
@@ -439,40 +502,67 @@
 
     // ---- the order ----
 
-    /// Releases while there is room.
+    /// Releases what the clock, the window and the budgets let go.
     fn dispatch(&mut self, now: Nanos, out: &mut dyn Output) {
-        self.keep_pace(now);
+        self.move_clock(now);
+        self.blocked = false;
         while let Some(team) = self.ranks.first() {
             let budget = self.budgets.team(team);
             let row = &mut self.rows[team];
             row.bucket.fill(budget, now);
             let empty_for = row.bucket.wait(budget);
             if empty_for > 0 {
-                self.ranks.remove(team);
                 if row.filling.is_none() {
                     row.filling = Some(self.wheel.set(now + empty_for, Due::Filled(team as u32)));
                 }
+                self.unrank(team);
                 continue;
             }
             let Some(workload) = self.next_lane(team) else {
                 // Its own bounds on what is released hold it back: ranked again as one of its own is over.
-                self.ranks.remove(team);
+                self.unrank(team);
                 continue;
             };
             let threads = self.budgets.workloads[workload].threads.max(1.0);
-            if self.out + threads > self.window.threads() + 1e-9 {
-                self.window.was_full();
-                let own = self.part(team);
-                let called_back = self.rows[team].out + threads <= own
-                    && self.out + threads <= self.window.threads() * OVER_WINDOW;
-                if !called_back {
+            let (out_then, window) = (self.out + threads, self.window.threads() + 1e-9);
+            let first = self.ranks.rank(team).map_or(PACED, |(class, _)| class);
+            let mut charged = false;
+            if first == WITHIN {
+                // Its own part of the window is kept for it, whatever others have borrowed; more while there is room.
+                let own = self.rows[team].out + threads;
+                let part = self.part(team);
+                let most = (OWN_PART * part).max(OWN_STATEMENTS * self.window.widest());
+                let guaranteed = own <= part;
+                let room = out_then - self.lent <= window && own <= most;
+                if !guaranteed && !room {
+                    // By what it holds it is beyond its share now: in line with the others.
+                    self.rows[team].beyond_by_hold = true;
+                    self.put(team, PACED);
+                    continue;
+                }
+                if out_then > CALLED_BACK * window {
+                    self.blocked = true;
+                    break;
+                }
+            } else if out_then > if self.contended { RELAXED } else { 1.0 } * window {
+                // While nobody waits the window alone counts.
+                if out_then > window {
+                    self.window.was_full();
+                }
+                if out_then > FULL * window || first == LEFT_OVER && out_then > window {
+                    self.blocked = true;
+                    break;
+                }
+                if self.rows[team].tag > self.virtual_now {
+                    self.await_turn(now, team);
                     break;
                 }
+                charged = true;
             }
             let Some((ix, _, _)) = self.rows[team].lanes[workload].front() else { break };
-            self.release(now, ix, team, workload, threads, out);
+            self.release(now, ix, team, workload, charged, out);
         }
-        self.contended = self.ranks.first().is_some_and(|team| self.budgets.team(team).share > 0.0);
+        self.contended = self.waiting_shares > 0.0;
         if self.queued == 0 && self.queueing.is_some() && now >= self.waited_at + CALM_AFTER {
             let since = self.queueing.take().unwrap_or(now);
             let line = format!("Queueing -> Direct: after {:.1} s", (now - since) as f64 / 1e9);
@@ -480,31 +570,69 @@
         }
     }
 
+    /// Virtual time a second (ns): the work that is to be had for those who wait, over their shares.
+    fn clock_pace(&self, now: Nanos) -> f64 {
+        let window = self.window.threads().max(1e-9);
+        let off = ((window - self.out) / window).clamp(-1.0, 1.0);
+        self.usual_pace(now) * (1.0 + PULL * off)
+    }
+
+    /// The same without the pull of the moment: what a wait is told by.
+    fn usual_pace(&self, now: Nanos) -> f64 {
+        self.pace.per_s(self.promise(now)) / self.waiting_shares.max(LEAST_SHARE)
+    }
+
+    /// Work (ns) a second that the cores promise to those who wait: what the others leave.
+    fn promise(&self, now: Nanos) -> f64 {
+        let cores = self.window.cores() * 1e9;
+        (cores * PROMISE - self.done_for_others.per_s(now)).max(cores * LEAST_PACE)
+    }
+
+    fn move_clock(&mut self, now: Nanos) {
+        let span = now.saturating_sub(self.clock_at);
+        self.clock_at = self.clock_at.max(now);
+        let done = std::mem::take(&mut self.done_for_waiting);
+        if !self.contended {
+            return;
+        }
+        self.pace.went_on(done, span);
+        if !self.blocked {
+            let went = self.clock_pace(now) * span as f64 / 1e9;
+            self.virtual_now = self.virtual_now.saturating_add(went as u64);
+        }
+    }
+
+    fn await_turn(&mut self, now: Nanos, team: usize) {
+        let away = self.rows[team].tag.saturating_sub(self.virtual_now) as f64;
+        let span = (away / self.clock_pace(now).max(1.0) * 1e9).min(1e15) as Nanos;
+        if let Some(old) = self.turn.replace(self.wheel.set(now + span, Due::Turn)) {
+            self.wheel.remove(old);
+        }
+    }
+
     fn release(
         &mut self,
         now: Nanos,
         ix: StmtIx,
         team: usize,
         workload: usize,
-        threads: f64,
+        charged: bool,
         out: &mut dyn Output,
     ) {
-        let own = self.rows[team].out + threads <= self.part(team);
+        let within = self.ranks.rank(team).is_some_and(|(class, _)| class == WITHIN);
         let Some(ticket) = &self.tickets[ix.0] else { return };
         let (work, told_wait, came) = (ticket.work, ticket.told_wait, ticket.came);
         if told_wait > 0 {
-            self.record.released(told_wait, now.saturating_sub(came));
+            let estimated = ticket.estimated;
+            self.record.released(now, told_wait, estimated, now.saturating_sub(came));
         }
         let share = self.budgets.team(team).share;
-        if share > 0.0 {
-            self.virtual_now = self.virtual_now.max(self.rows[team].tag);
-        }
         let row = &mut self.rows[team];
-        row.tag = row.tag.saturating_add(span(work, share));
-        if share > 0.0 {
-            self.farthest_tag = self.farthest_tag.max(row.tag);
+        if charged {
+            let settled = (row.debt * SETTLED_AT_ONCE).max(-MOST_BACK * work as f64);
+            row.debt -= settled;
+            row.tag = row.tag.saturating_add(span((work as f64 + settled) as u64, share));
         }
-        row.last_charge = work;
         row.bucket.take(work as f64 / 1e9);
         if told_wait > 0 {
             row.pace.went_on(work as f64, now.saturating_sub(row.paced_at));
@@ -514,8 +642,8 @@
             Some(urgent) if urgent == workload => row.urgent += 1,
             _ => row.urgent = 0,
         }
-        self.turn(now, ix, if own { Place::Released } else { Place::Lent });
-        out.release(ix);
+        self.turn(now, ix, if within { Place::Released } else { Place::Lent });
+        out.release(ix, within);
     }
 
     /// The workload of a team whose turn it is; none where its bounds on what is released hold all back.
@@ -544,7 +672,7 @@
     /// A team's own part of the window.
     fn part(&self, team: usize) -> f64 {
         let share = self.budgets.team(team).share;
-        if self.shares <= 0.0 { 0.0 } else { self.window.threads() * share / self.shares }
+        if share <= 0.0 { 0.0 } else { self.window.threads() * share / self.shares }
     }
 
     /// Ranks a team by what it has waiting, or takes it out.
@@ -552,18 +680,75 @@
         let row = &mut self.rows[team];
         let share = self.budgets.team(team).share;
         if row.queued == 0 {
-            self.ranks.remove(team);
-            self.fullest.remove(team);
             row.urgent_lane = None;
-            return;
+            row.beyond_by_hold = false;
+            self.fullest.remove(team);
+            return self.unrank(team);
         }
         let fullness = span(row.work, share);
         self.fullest.set(team, (0, u64::MAX - fullness));
         if row.filling.is_none() {
-            self.ranks.set(team, (u8::from(share <= 0.0), row.tag));
+            let class = if share <= 0.0 {
+                LEFT_OVER
+            } else if self.rows[team].within && !self.holds_more(team) {
+                WITHIN
+            } else {
+                PACED
+            };
+            self.put(team, class);
+        }
+    }
+
+    fn holds_more(&mut self, team: usize) -> bool {
+        if self.rows[team].beyond_by_hold && self.rows[team].out < self.part(team) {
+            self.rows[team].beyond_by_hold = false;
+        }
+        self.rows[team].beyond_by_hold
+    }
+
+    fn put(&mut self, team: usize, class: u8) {
+        let was = self.ranks.rank(team).map(|(class, _)| class);
+        let row = &mut self.rows[team];
+        if was != Some(PACED) && class == PACED {
+            // The first of all to wait does so as long as it costs: the window is full.
+            let front = row.lanes.iter().filter_map(Lane::front).map(|(ix, _, _)| ix).next();
+            let work = front.and_then(|ix| self.tickets[ix.0].as_ref()).map_or(0, |ticket| ticket.work);
+            let first = if self.contended { 0 } else { span(work, self.budgets.team(team).share) };
+            row.tag = row.tag.max(self.virtual_now.saturating_add(first));
+            self.waiting_shares += self.budgets.team(team).share;
+        }
+        if was == Some(PACED) && class != PACED {
+            self.no_longer_paced(team);
+        }
+        self.ranks.set(team, (class, self.rows[team].tag));
+    }
+
+    fn unrank(&mut self, team: usize) {
+        if self.ranks.rank(team).is_some_and(|(class, _)| class == PACED) {
+            self.no_longer_paced(team);
+        }
+        self.ranks.remove(team);
+    }
+
+    fn no_longer_paced(&mut self, team: usize) {
+        self.waiting_shares -= self.budgets.team(team).share;
+        if self.waiting_shares < LEAST_SHARE {
+            // Sums of what was added and taken again end in a remainder.
+            self.waiting_shares = 0.0;
         }
     }
 
+    /// Whether a team asks for no more than its share.
+    fn see_whether_within(&mut self, now: Nanos, team: usize) {
+        let share = self.budgets.team(team).share;
+        let part = if self.shares > 0.0 { share / self.shares } else { 0.0 };
+        let row = &mut self.rows[team];
+        let costliest = row.learned.iter().map(|l| l.usual).fold(0.0, f64::max);
+        let own = self.window.cores() * part * 1e9 + LUMPS * costliest / ASKED_FADE;
+        let limit = if row.within { own } else { own * BACK_WITHIN };
+        row.within = row.asked.per_s(now) <= limit;
+    }
+
     /// The one function that changes a statement's place.
     fn turn(&mut self, now: Nanos, ix: StmtIx, to: Place) {
         let Some(ticket) = &mut self.tickets[ix.0] else { return };
@@ -590,6 +775,7 @@
                 row.out -= threads;
                 row.out_in[workload] -= threads;
                 self.out -= threads;
+                self.lent -= if from == Place::Lent { threads } else { 0.0 };
             }
             Place::Coming | Place::Over => {}
         }
@@ -605,11 +791,6 @@
                     ticket.number = number;
                 }
                 if row.queued == 0 {
-                    if self.ranks.is_empty() && self.out <= 0.0 {
-                        // Nobody is served or waits: what was used before is over.
-                        self.virtual_now = self.virtual_now.max(self.farthest_tag);
-                    }
-                    row.tag = row.tag.max(self.virtual_now);
                     row.urgent = 0;
                     if now > row.paced_at + PACE_HOLDS {
                         row.pace = Pace::default();
@@ -626,6 +807,7 @@
                 row.out += threads;
                 row.out_in[workload] += threads;
                 self.out += threads;
+                self.lent += if to == Place::Lent { threads } else { 0.0 };
             }
             Place::Over => self.tickets[ix.0] = None,
             Place::Coming => {}
@@ -650,9 +832,12 @@
                         Learned { real: usual, told: usual, usual }
                     })
                     .collect(),
-                coming: vec![Rate::default(); workloads.len()],
+                coming: vec![Rate::fading(COMING_FADE); workloads.len()],
                 tag: self.virtual_now,
-                last_charge: 0,
+                debt: 0.0,
+                asked: Rate::fading(ASKED_FADE),
+                within: true,
+                beyond_by_hold: false,
                 bucket: Bucket::new(budget, now),
                 filling: None,
                 queued: 0,
@@ -693,15 +878,18 @@
         }
     }
 
-    /// Sets what was charged right by what it really was, in virtual time and in the budget.
-    fn settle(&mut self, now: Nanos, team: usize, charged: u64, real: u64) {
-        let share = self.budgets.team(team).share;
+    /// Sets what was charged right by what it really was: in the budget at once, in the order with what the team
+    /// releases next.
+    fn settle(&mut self, now: Nanos, team: usize, lent: bool, charged: u64, real: u64) {
+        if lent || !self.rows[team].within || self.rows[team].beyond_by_hold {
+            self.done_for_waiting += real as f64;
+        } else {
+            self.done_for_others.add(now, real as f64);
+        }
         let row = &mut self.rows[team];
         row.used += real as f64 / 1e9;
-        row.tag = row.tag.saturating_sub(span(charged, share)).saturating_add(span(real, share));
-        if share > 0.0 {
-            self.farthest_tag = self.farthest_tag.max(row.tag);
-        }
+        // What is owed to it fades as it is not in line; what it owes stays until it is.
+        row.debt = if row.within { 0.0 } else { row.debt + real as f64 - charged as f64 };
         row.bucket.fill(self.budgets.team(team), now);
         row.bucket.take(real as f64 / 1e9 - charged as f64 / 1e9);
         if let Some(filling) = row.filling.take() {
@@ -823,7 +1011,7 @@
         }
         // Without engines nobody can tell.
         let wait = if self.window.threads() > 0.0 { self.wait(now, ix).min(most) } else { most };
-        let per_s = (self.pace_of(team) / 1e9).max(1e-9);
+        let per_s = (self.pace_of(now, team) / 1e9).max(1e-9);
         let row = &mut self.rows[team];
         let its_turn = (work as f64 / 1e9 / per_s * 1e9).min(most as f64) as Nanos;
         row.appointment = row.appointment.max(now).saturating_add(its_turn).min(now + most);
@@ -853,25 +1041,19 @@
 
     // ---- waits ----
 
-    /// Measures how fast virtual time goes while somebody waits.
-    fn keep_pace(&mut self, now: Nanos) {
-        if self.contended {
-            let went = self.virtual_now.saturating_sub(self.paced_tag);
-            self.pace.went_on(went as f64, now.saturating_sub(self.paced_at));
-        }
-        self.paced_at = now;
-        self.paced_tag = self.virtual_now;
-    }
-
     /// Work (ns) a second that a team is served with while it waits.
-    fn pace_of(&self, team: usize) -> f64 {
+    fn pace_of(&self, now: Nanos, team: usize) -> f64 {
         let share = self.budgets.team(team).share.max(LEAST_SHARE);
-        // What the cores promise, divided among those that wait.
-        let waiting = self.ranks.len().max(1) as f64;
-        let promised = self.window.cores() * 1e9 / share / waiting;
         let budget = self.budgets.team(team).work_per_s * 1e9;
-        let in_order = self.pace.per_s(promised) * share;
-        self.rows[team].pace.per_s(in_order).min(budget)
+        let in_order = (self.usual_pace(now) * share).min(budget);
+        match self.ranks.rank(team) {
+            // Those within their share are served as fast as engines work.
+            Some((WITHIN, _)) => return (self.window.cores() * PROMISE * 1e9).min(budget),
+            Some(_) => return in_order,
+            None => {}
+        }
+        // Its own bounds hold it back: how it was served of late.
+        self.rows[team].pace.per_s(in_order)
     }
 
     /// How long a queued statement will wait from now, by what is ahead of it and the pace of its team.
@@ -882,7 +1064,7 @@
             return 0;
         }
         let row = &self.rows[team];
-        let pace = self.pace_of(team).max(1.0);
+        let pace = self.pace_of(now, team).max(1.0);
         let urgent = row.urgent_lane == Some(workload);
         let slack = self.budgets.workloads[workload].slack;
         let due = ticket.came.saturating_add(slack);
@@ -902,14 +1084,13 @@
             if !urgent && earlier > now {
                 // What comes until then in more pressing workloads goes ahead too.
                 let span = ((earlier - now) as f64).min(ahead / pace * 1e9) / 1e9;
-                coming += row.coming[w].per_s(now) * 1e9 * span;
+                coming += row.coming[w].per_s(now) * span;
             }
         }
         ahead += coming;
         let share = self.budgets.team(team).share.max(LEAST_SHARE);
-        // The statement released last lies between the order's time and the team's tag: half of it is to come.
-        let behind = row.tag.saturating_sub(self.virtual_now) as f64 * share;
-        let behind = (behind - row.last_charge as f64).max(0.0) + behind.min(row.last_charge as f64) / 2.0;
+        let paced = self.ranks.rank(team).is_some_and(|(class, _)| class == PACED);
+        let behind = if paced { row.tag.saturating_sub(self.virtual_now) as f64 * share } else { 0.0 };
         let in_order = (ahead + behind) / pace * 1e9;
         let budget = self.budgets.team(team);
         let by_budget = if budget.work_per_s.is_finite() {
@@ -917,7 +1098,7 @@
         } else {
             0.0
         };
-        in_order.max(by_budget).min(Nanos::MAX as f64 / 4.0) as Nanos
+        (in_order.max(by_budget) * self.record.bias(now)).min(Nanos::MAX as f64 / 4.0) as Nanos
     }
 }
 
--- a/crates/ivypitch-teams/src/window.rs
+++ b/crates/ivypitch-teams/src/window.rs
@@ -3,10 +3,10 @@
 
 use ivypitch::interface::Nanos;
 
-/// Threads a core that the window starts with: engines are at work with one and a half, and still fast.
+/// Threads a core that the window starts with: engines are at work with so many, and still fast.
 const START: f64 = 1.5;
 /// And this many times the root of those threads: a small share needs more room for chance than a large one.
-const HEADROOM: f64 = 2.0;
+const HEADROOM: f64 = 0.5;
 /// Its ends, as parts of where it starts.
 const LEAST: f64 = 0.4;
 const MOST: f64 = 2.0;
@@ -14,7 +14,7 @@
 const PERIOD: Nanos = 100_000_000;
 const FEWEST: u32 = 8;
 /// Executions may be slower than the best by so much before the window closes.
-const TOLERANCE: f64 = 2.0;
+const TOLERANCE: f64 = 1.5;
 /// The most that one look changes.
 const STEP_DOWN: f64 = 0.9;
 const STEP_UP: f64 = 1.05;
@@ -70,6 +70,10 @@
         self.threads
     }
 
+    pub fn widest(&self) -> f64 {
+        self.widest
+    }
+
     pub fn cores(&self) -> f64 {
         self.cores
     }
