--- /dev/null
+++ b/crates/ivypitch-command/tests/teams.rs
@@ -0,0 +1,263 @@
+//! The queues of teams in the program, over loopback sockets, and the own settings file that sets them up.
+
+use std::process::{Command, Output};
+
+use ivypitch_lab::stand_ins::*;
+use test_case::test_case;
+
+/// One engine of two cores: three threads are out at once, and a load that needs two more waits.
+const CORES: &str = r#""cores-by-kind":[64]"#;
+
+fn small(config: String) -> String {
+    config.replace(CORES, r#""cores-by-kind":[2]"#)
+}
+
+fn own(teams: &str) -> String {
+    format!(
+        r#"{{"teams":{{"show":true,"window":"fixed","wait_part":20,"workloads":{{"lookup":{{"usual_work_ms":400}}}},{teams}}}}}"#
+    )
+}
+
+fn start(engine: &Engine, teams: &str) -> Gateway {
+    Gateway::owned(&[engine.row("s-1", "in_service")], small, Some(&own(teams)))
+}
+
+/// Clients whose statements fill the window: they run and never end.
+fn fill(gateway: &Gateway, engine: &Engine) -> Vec<Client> {
+    let clients: Vec<Client> = (1..=3)
+        .map(|req| {
+            let mut client = Client::connect(gateway);
+            client.send(&query(&statement("lookup", req, 20_000)));
+            client
+        })
+        .collect();
+    engine.calls.wait_for("starts", 3, |c| c.is("POST"));
+    clients
+}
+
+fn loads_started(engine: &Engine) -> usize {
+    engine.calls.all().iter().filter(|c| c.header("Via-Class") == Some("load")).count()
+}
+
+fn shown(gateway: &Gateway, ask: &str) -> Vec<Vec<String>> {
+    match Client::connect(gateway).ask(ask) {
+        Answer::Rows(rows) => rows,
+        other => panic!("{ask}: {other:?}"),
+    }
+}
+
+/// Waits until so many statements wait.
+fn waiting(gateway: &Gateway, count: usize) -> Vec<Vec<String>> {
+    for _ in 0..600 {
+        let rows = shown(gateway, "SHOW QUEUE");
+        if rows.len() == count {
+            return rows;
+        }
+        std::thread::sleep(std::time::Duration::from_millis(50));
+    }
+    panic!("never {count} waiting");
+}
+
+#[test]
+fn what_finds_no_room_waits_is_shown_and_goes_on_as_room_comes() {
+    let engine = Engine::busy();
+    let gateway = start(&engine, r#""most_queued":50"#);
+    let running = fill(&gateway, &engine);
+    let mut client = Client::connect(&gateway);
+    client.send(&query(&statement("load", 0xabc, 20_000)));
+    let rows = waiting(&gateway, 1);
+    assert_eq!(rows[0][..5], ["0000000000000abc", "acme", "load", "waiting", "1"].map(str::to_owned));
+    let figures: Vec<u64> = rows[0][5..].iter().map(|n| n.parse().unwrap()).collect();
+    assert!(figures[0] <= figures[1] && figures[1] <= figures[2], "low, mid, high: {figures:?}");
+    assert_eq!(shown(&gateway, "show wait '0000000000000abc';")[0][3], "waiting");
+    assert_eq!(shown(&gateway, "SHOW WAIT '0000000000000001'")[0][3], "running");
+    assert!(shown(&gateway, "SHOW WAIT '00000000000000ff'").is_empty());
+    assert_eq!(loads_started(&engine), 0, "nothing that waits reaches an engine");
+    drop(running);
+    engine.calls.wait("the start of what waited", |c| c.header("Via-Class") == Some("load"));
+}
+
+#[test_case("kill", 1317; "killed")]
+#[test_case("gone", 0; "its client goes")]
+#[test_case("timeout", 1203; "its time is over")]
+fn what_waits_can_leave_and_no_engine_hears_of_it(way: &str, code: u16) {
+    let engine = Engine::busy();
+    let gateway = start(&engine, r#""most_queued":50"#);
+    let _running = fill(&gateway, &engine);
+    let mut client = Client::connect(&gateway);
+    let timeout = if way == "timeout" { 1500 } else { 20_000 };
+    client.send(&query(&statement("load", 0xabc, timeout)));
+    if way != "timeout" {
+        waiting(&gateway, 1);
+    }
+    match way {
+        "kill" => {
+            let kill = format!("KILL QUERY {}", client.connection);
+            assert_eq!(Client::connect(&gateway).ask(&kill), Answer::Rows(Vec::new()));
+        }
+        "gone" => client.stream.shutdown(std::net::Shutdown::Both).unwrap(),
+        _ => {}
+    }
+    if code > 0 {
+        assert_eq!(client.answer(1).code(), code);
+    }
+    waiting(&gateway, 0);
+    assert_eq!(loads_started(&engine), 0);
+}
+
+#[test]
+fn over_its_bound_a_team_is_refused_at_once_with_when_to_come_back() {
+    let engine = Engine::busy();
+    let gateway = start(&engine, r#""by_name":{"acme":{"most_queued":1}}"#);
+    let _running = fill(&gateway, &engine);
+    let mut waits = Client::connect(&gateway);
+    waits.send(&query(&statement("load", 4, 20_000)));
+    waiting(&gateway, 1);
+    let Answer::Error(1203, text) = Client::connect(&gateway).ask(&statement("load", 5, 20_000)) else {
+        panic!("not refused")
+    };
+    let after: u64 = text.split("holdoff=").nth(1).expect("a holdoff").trim().parse().unwrap();
+    assert!((1..=2000).contains(&after), "{text}");
+    gateway.log.wait("mode", |l| l.contains("team acme Within -> Over"));
+    gateway.log.wait("mode", |l| l.contains("teams Direct -> Queueing"));
+}
+
+#[test]
+fn sigterm_with_a_full_queue_answers_all_and_exits_with_0() {
+    let engine = Engine::busy();
+    let mut gateway = start(&engine, r#""most_queued":50"#);
+    let _running = fill(&gateway, &engine);
+    let mut clients: Vec<Client> = (10..30)
+        .map(|req| {
+            let mut client = Client::connect(&gateway);
+            client.send(&query(&statement("load", req, 20_000)));
+            client
+        })
+        .collect();
+    gateway.log.wait("mode", |l| l.contains("Direct -> Queueing"));
+    gateway.terminate();
+    for client in &mut clients {
+        let code = client.answer(1).code();
+        assert!([1203, 1040].contains(&code), "{code}: it never ran");
+    }
+    assert_eq!(gateway.exit_code(), Some(0));
+    gateway.log.wait("record", |l| l.contains("teams waits told"));
+    assert_eq!(loads_started(&engine), 0);
+}
+
+#[test]
+fn sighup_takes_new_budgets_and_keeps_the_old_ones_where_the_file_is_no_good() {
+    let engine = Engine::busy();
+    let gateway = start(&engine, r#""by_name":{"acme":{"most_queued":1}}"#);
+    let _running = fill(&gateway, &engine);
+    let mut waits = Client::connect(&gateway);
+    waits.send(&query(&statement("load", 4, 20_000)));
+    waiting(&gateway, 1);
+    gateway.configure_own(&own(r#""by_name":{"acme":{"most_queued":-1}}"#));
+    gateway.signal("HUP");
+    let line = gateway.log.wait("fault", |l| l.contains("own settings stay"));
+    assert!(line.contains("teams.by_name.acme.most_queued: -1 is not within 0 to"), "{line}");
+    assert_eq!(Client::connect(&gateway).ask(&statement("load", 5, 20_000)).code(), 1203);
+    gateway.configure_own(&own(r#""by_name":{"acme":{"most_queued":9}}"#));
+    gateway.signal("HUP");
+    gateway.log.wait("reload", |l| l.contains("budgets of 1 teams"));
+    let mut more = Client::connect(&gateway);
+    more.send(&query(&statement("load", 6, 20_000)));
+    waiting(&gateway, 2);
+}
+
+#[test]
+fn without_an_own_file_nothing_waits_and_show_is_no_statement() {
+    let engine = Engine::served();
+    let gateway = Gateway::start(&[engine.row("s-1", "in_service")]);
+    assert_eq!(Client::connect(&gateway).ask("SHOW QUEUE").code(), 1064);
+}
+
+// ---- the own settings file ----
+
+fn check(name: &str, text: &str, more: &[&str]) -> Output {
+    let path = std::env::temp_dir().join(format!("own-{}-{name}", std::process::id()));
+    std::fs::write(&path, text).unwrap();
+    let output = Command::new(program()).arg("check").arg(&path).args(more).output().unwrap();
+    let _ = std::fs::remove_file(path);
+    output
+}
+
+#[test]
+fn all_faults_of_a_file_come_at_once_with_line_and_path() {
+    let text = "{\n  teams = {\n    shwo = true,\n    window = \"wide\",\n    by_name = {\n      acme = { share = -1,\n        most_queued = 1.5 },\n    },\n  },\n  lgo = {},\n}\n";
+    let output = check("faults.ncl", text, &[]);
+    assert_eq!(output.status.code(), Some(1));
+    let said = String::from_utf8(output.stderr).unwrap();
+    for wanted in [
+        "line 3: teams.shwo: no field of that name; is show meant?",
+        "line 4: teams.window: \"wide\" is none of gradient, additive, fixed",
+        "line 6: teams.by_name.acme.share: -1 is not within 0 to 1000000",
+        "line 7: teams.by_name.acme.most_queued: 1.5 is no whole number",
+        "line 10: lgo: no field of that name; is log meant?",
+        "5 faults",
+    ] {
+        assert!(said.contains(wanted), "{wanted:?} is missing in\n{said}");
+    }
+}
+
+#[test_case("half.ncl", "{ teams = ", "unexpected end of file"; "not readable")]
+#[test_case("half.json", "{\"teams\": ", "line 1"; "JSON that is not readable")]
+#[test_case("list.ncl", "[1, 2]", "a list where a record is wanted"; "no record")]
+#[test_case("function.ncl", "{ teams = fun x => x }", "teams"; "a function")]
+fn what_is_no_settings_file_gets_one_clear_error(name: &str, text: &str, wanted: &str) {
+    let output = check(name, text, &[]);
+    assert_eq!(output.status.code(), Some(1));
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert!(said.to_lowercase().contains(&wanted.to_lowercase()), "{said}");
+}
+
+#[test]
+fn the_emitted_form_is_whole_and_reads_back() {
+    let text = "let few = { most_queued = 5 } in { teams = { by_name = { acme = few & { share = 2 } } } }";
+    let output = check("good.ncl", text, &["--emit"]);
+    assert_eq!(output.status.code(), Some(0), "{}", String::from_utf8_lossy(&output.stderr));
+    let own = ivypitch_deployment::own::read(&output.stdout).unwrap();
+    let given = ivypitch_deployment::read(SETTINGS.as_bytes()).unwrap();
+    let budgets = own.teams.unwrap().budgets(&given, 100).unwrap();
+    assert_eq!((budgets.teams[0].share, budgets.teams[0].most_queued), (2.0, 5));
+    assert_eq!((budgets.other.share, budgets.most_queued), (1.0, 100));
+}
+
+#[test]
+fn names_that_the_deployment_does_not_have_are_faults() {
+    let config = std::env::temp_dir().join(format!("against-{}.json", std::process::id()));
+    std::fs::write(&config, format!(r#"{{"listen":"127.0.0.1:0","settings":{SETTINGS}}}"#)).unwrap();
+    let text = "{\n teams = { by_name = {\n  acne = { share = 2,\n   workloads = { lokup = {} } } } } }";
+    let output = check("names.ncl", text, &["--against", config.to_str().unwrap()]);
+    let _ = std::fs::remove_file(config);
+    let said = String::from_utf8(output.stderr).unwrap();
+    assert!(
+        said.contains("line 3: teams.by_name.acne: the deployment has no customer of that name; it has acme"),
+        "{said}"
+    );
+    assert!(
+        said.contains("line 4: teams.by_name.acne.workloads.lokup: the deployment has no workload"),
+        "{said}"
+    );
+}
+
+#[test]
+fn the_file_under_deploy_is_good_and_every_field_is_described() {
+    let file = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/ivypitch.ncl");
+    let output = Command::new(program()).args(["check", file]).output().unwrap();
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    let fields = Command::new(program()).args(["check", "--fields"]).output().unwrap();
+    let fields = String::from_utf8(fields.stdout).unwrap();
+    assert!(fields.contains("teams.by_name.NAME.share: 0 to 1000000; default 1."), "{fields}");
+}
+
+#[test]
+fn a_file_of_records_is_evaluated_by_a_child_as_the_program_starts_and_logs_as_it_says() {
+    let engine = Engine::served();
+    let text = "{ teams = { show = true }, log = { format = \"json\" } }";
+    let gateway = Gateway::owned_by(&[engine.row("s-1", "in_service")], small, "ncl", text);
+    assert!(shown(&gateway, "SHOW QUEUE").is_empty());
+    let line = gateway.log.wait("a line", |l| l.contains("listens on"));
+    assert!(line.starts_with('{') && line.contains("\"level\":\"info\""), "{line}");
+}
--- a/crates/ivypitch-lab/src/stand_ins.rs
+++ b/crates/ivypitch-lab/src/stand_ins.rs
@@ -236,13 +236,11 @@
     }
 
     pub fn with(listen: &str, rows: &[String], journal: Option<&Journal>, sockets: usize) -> Gateway {
-        let journal = journal.map_or(String::new(), |j| j.address.to_string());
-        let entry = event(1, true, rows);
-        let config = format!(
-            r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},
-             "journal":"{journal}","known":{{"pos":1,"entries":[{entry}]}},"settings":{SETTINGS}}}"#
-        );
-        let (mut child, log, path) = spawn(&config);
+        Gateway::spawned(configuration(listen, rows, journal, sockets), None)
+    }
+
+    fn spawned(config: String, own: Option<(&str, &str)>) -> Gateway {
+        let (mut child, log, path) = spawn_own(&config, own);
         let line = log.wait("line of the start", |l| l.contains("listens on") || l.contains("ERROR"));
         let address = line.split("listens on ").nth(1).and_then(|l| l.split(',').next()?.parse().ok());
         let address = address.unwrap_or_else(|| {
@@ -252,6 +250,23 @@
         Gateway { child, path, config, address, log }
     }
 
+    /// Before these engines, with a configuration changed by `change` and own settings as JSON.
+    pub fn owned(rows: &[String], change: impl Fn(String) -> String, own: Option<&str>) -> Gateway {
+        let config = change(configuration("127.0.0.1:0", rows, None, 1024));
+        Gateway::spawned(config, own.map(|own| ("json", own)))
+    }
+
+    /// The same with a file of this ending.
+    pub fn owned_by(rows: &[String], change: impl Fn(String) -> String, ending: &str, own: &str) -> Gateway {
+        let config = change(configuration("127.0.0.1:0", rows, None, 1024));
+        Gateway::spawned(config, Some((ending, own)))
+    }
+
+    /// Replaces the file of its own settings.
+    pub fn configure_own(&self, own: &str) {
+        std::fs::write(self.path.with_extension("own.json"), own).unwrap();
+    }
+
     pub fn terminate(&self) {
         self.signal("TERM");
     }
@@ -288,6 +303,16 @@
     }
 }
 
+/// The configuration of a gateway before the engines of these rows.
+pub fn configuration(listen: &str, rows: &[String], journal: Option<&Journal>, sockets: usize) -> String {
+    let journal = journal.map_or(String::new(), |j| j.address.to_string());
+    let entry = event(1, true, rows);
+    format!(
+        r#"{{"name":"n0","listen":"{listen}","seed":"8c1f30d27a5be964","limits":{{"sockets":{sockets}}},
+         "journal":"{journal}","known":{{"pos":1,"entries":[{entry}]}},"settings":{SETTINGS}}}"#
+    )
+}
+
 /// The command `ivypitch` that was built beside this test or is this program.
 pub fn program() -> PathBuf {
     let this = std::env::current_exe().unwrap();
@@ -302,14 +327,19 @@
 
 /// The same with own settings, as JSON.
 pub fn spawn_with(config: &str, own: Option<&str>) -> (Child, Seen<String>, PathBuf) {
+    spawn_own(config, own.map(|own| ("json", own)))
+}
+
+/// Own settings by the ending of their file and its text.
+fn spawn_own(config: &str, own: Option<(&str, &str)>) -> (Child, Seen<String>, PathBuf) {
     static NUMBER: AtomicUsize = AtomicUsize::new(0);
     let name = format!("gateway-{}-{}.json", std::process::id(), NUMBER.fetch_add(1, Ordering::SeqCst));
     let path = std::env::temp_dir().join(name);
     std::fs::write(&path, config).unwrap();
     let mut command = Command::new(program());
     command.arg("serve").env("PROXY_CONFIG", &path);
-    let own_path = path.with_extension("own.json");
-    if let Some(own) = own {
+    let own_path = path.with_extension(format!("own.{}", own.map_or("json", |(ending, _)| ending)));
+    if let Some((_, own)) = own {
         std::fs::write(&own_path, own).unwrap();
         command.env("IVYPITCH_OWN", &own_path);
     }
--- a/crates/ivypitch-records/src/lib.rs
+++ b/crates/ivypitch-records/src/lib.rs
@@ -42,7 +42,7 @@
     match program.eval_full_for_export() {
         Ok(value) => {
             let (files, positions) = (program.files(), program.pos_table());
-            node(&value, TermPos::None, &files, positions, 0)
+            node(&value, TermPos::None, &files, positions, "", 0)
         }
         Err(error) => {
             let report = report_as_str(&mut program.files(), error, ColorOpt::Never);
@@ -56,6 +56,7 @@
     named_at: TermPos,
     files: &Files,
     positions: &PosTable,
+    path: &str,
     depth: usize,
 ) -> Result<Node, Vec<Fault>> {
     let line_of = |pos: TermPos| {
@@ -64,7 +65,7 @@
         Some(before.bytes().filter(|&b| b == b'\n').count() + 1)
     };
     let line = line_of(named_at).or_else(|| line_of(value.pos(positions)));
-    let wrong = |what: &str| vec![Fault { line, ..Fault::new("", what) }];
+    let wrong = |what: &str| vec![Fault { line, ..Fault::new(path, what) }];
     if depth > DEEPEST {
         return Err(wrong("records nest too deeply"));
     }
@@ -78,14 +79,19 @@
         ValueContentRef::String(text) => Plain::Text(text.to_string()),
         ValueContentRef::EnumVariant(tag) if tag.arg.is_none() => Plain::Text(tag.tag.to_string()),
         ValueContentRef::Array(list) => {
-            let each = list.iter().map(|v| node(v, TermPos::None, files, positions, depth + 1));
+            let each = list
+                .iter()
+                .enumerate()
+                .map(|(i, v)| node(v, TermPos::None, files, positions, &format!("{path}[{i}]"), depth + 1));
             Plain::List(gathered(each)?)
         }
         ValueContentRef::Record(record) => {
             let fields = record.into_opt().into_iter().flat_map(|data| &data.fields);
             let stated = fields.filter_map(|(name, field)| Some((name, field.value.as_ref()?)));
             let each = stated.map(|(name, value)| {
-                let inner = node(value, name.pos, files, positions, depth + 1)?;
+                let dot = if path.is_empty() { "" } else { "." };
+                let inner_path = format!("{path}{dot}{}", name.label());
+                let inner = node(value, name.pos, files, positions, &inner_path, depth + 1)?;
                 Ok((name.label().to_owned(), inner))
             });
             Plain::Record(gathered(each)?)
--- a/crates/ivypitch-teams/src/teams.rs
+++ b/crates/ivypitch-teams/src/teams.rs
@@ -2,8 +2,9 @@
 //!
 //! Across teams: those whose asking is within their share go before all others. Those beyond it are served by
 //! start-time fair queueing in virtual time, by share; virtual time goes by a clock, at the pace at which the engines
-//! get their work done, so that a wait can be told. Within a team: the workload whose first statement is due first, where due is its coming and the
-//! workload's slack; so age decides in the end.
+//! get their work done, so that a wait can be told. Beyond it, a team's workloads have parts of its share, by the
+//! importance that they ask for, and starts of their own: a report holds back no lookup. Within it, the workload goes
+//! first whose first statement is due first, where due is its coming and the workload's slack.
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 
@@ -145,11 +146,12 @@
     out_in: Vec<f64>,
     out: f64,
     learned: Vec<Learned>,
-    coming: Vec<Rate>,
-    /// Virtual start of its next statement.
-    tag: u64,
-    /// What it was charged too little, in ns of work, to be settled with its next releases.
-    debt: f64,
+    /// Virtual start of each workload's next statement.
+    tags: Vec<u64>,
+    /// What was charged too little, in ns of work, to be settled with the workload's next releases.
+    debts: Vec<f64>,
+    /// Importance asked for, by workload.
+    wanted: Vec<Rate>,
     /// Charged work that it asked for.
     asked: Rate,
     within: bool,
@@ -294,17 +296,15 @@
             self.tickets.resize_with(ix.0 + 1, || None);
         }
         self.tickets[ix.0] = Some(ticket);
-        self.rows[claim.team].asked.add(now, work as f64);
+        let row = &mut self.rows[claim.team];
+        row.asked.add(now, work as f64);
+        row.wanted[workload].add(now, self.budgets.workloads[workload].importance);
         self.see_whether_within(now, claim.team);
         self.turn(now, ix, Place::Queued);
         self.dispatch(now, out);
         if self.is_queued(ix) {
             self.keep_or_reject(now, ix, out);
         }
-        if self.tickets[ix.0].is_some() {
-            // What was sent away goes ahead of nobody.
-            self.rows[claim.team].coming[workload].add(now, work as f64);
-        }
     }
 
     /// It did not go at once: it may stay where bounds and its time allow.
@@ -372,7 +372,7 @@
         let (told, lent) = (ticket.told, ticket.place == Place::Lent);
         let threads = self.budgets.workloads[workload].threads.max(1.0);
         self.turn(now, ix, Place::Over);
-        self.settle(now, team, lent, charged, real.unwrap_or(0));
+        self.settle(now, (team, workload), lent, charged, real.unwrap_or(0));
         if let Some(real) = real {
             self.learn(team, workload, told, real);
             if let Some(took) = took {
@@ -518,16 +518,16 @@
                 self.unrank(team);
                 continue;
             }
-            let Some(workload) = self.next_lane(team) else {
+            let class = self.ranks.rank(team).map_or(PACED, |(class, _)| class);
+            let Some(workload) = self.next_lane(team, class == PACED) else {
                 // Its own bounds on what is released hold it back: ranked again as one of its own is over.
                 self.unrank(team);
                 continue;
             };
             let threads = self.budgets.workloads[workload].threads.max(1.0);
             let (out_then, window) = (self.out + threads, self.window.threads() + 1e-9);
-            let first = self.ranks.rank(team).map_or(PACED, |(class, _)| class);
             let mut charged = false;
-            if first == WITHIN {
+            if class == WITHIN {
                 // Its own part of the window is kept for it, whatever others have borrowed; more while there is room.
                 let own = self.rows[team].out + threads;
                 let part = self.part(team);
@@ -549,12 +549,12 @@
                 if out_then > window {
                     self.window.was_full();
                 }
-                if out_then > FULL * window || first == LEFT_OVER && out_then > window {
+                if out_then > FULL * window || class == LEFT_OVER && out_then > window {
                     self.blocked = true;
                     break;
                 }
-                if self.rows[team].tag > self.virtual_now {
-                    self.await_turn(now, team);
+                if class == PACED && self.rows[team].tags[workload] > self.virtual_now {
+                    self.await_turn(now, self.rows[team].tags[workload]);
                     break;
                 }
                 charged = true;
@@ -602,8 +602,8 @@
         }
     }
 
-    fn await_turn(&mut self, now: Nanos, team: usize) {
-        let away = self.rows[team].tag.saturating_sub(self.virtual_now) as f64;
+    fn await_turn(&mut self, now: Nanos, tag: u64) {
+        let away = tag.saturating_sub(self.virtual_now) as f64;
         let span = (away / self.clock_pace(now).max(1.0) * 1e9).min(1e15) as Nanos;
         if let Some(old) = self.turn.replace(self.wheel.set(now + span, Due::Turn)) {
             self.wheel.remove(old);
@@ -626,12 +626,13 @@
             let estimated = ticket.estimated;
             self.record.released(now, told_wait, estimated, now.saturating_sub(came));
         }
-        let share = self.budgets.team(team).share;
+        let share = self.lane_share(now, team, workload);
         let row = &mut self.rows[team];
         if charged {
-            let settled = (row.debt * SETTLED_AT_ONCE).max(-MOST_BACK * work as f64);
-            row.debt -= settled;
-            row.tag = row.tag.saturating_add(span((work as f64 + settled) as u64, share));
+            let settled = (row.debts[workload] * SETTLED_AT_ONCE).max(-MOST_BACK * work as f64);
+            row.debts[workload] -= settled;
+            let went = span((work as f64 + settled) as u64, share);
+            row.tags[workload] = row.tags[workload].saturating_add(went);
         }
         row.bucket.take(work as f64 / 1e9);
         if told_wait > 0 {
@@ -647,7 +648,7 @@
     }
 
     /// The workload of a team whose turn it is; none where its bounds on what is released hold all back.
-    fn next_lane(&self, team: usize) -> Option<usize> {
+    fn next_lane(&self, team: usize, paced: bool) -> Option<usize> {
         let (row, budget) = (&self.rows[team], self.budgets.team(team));
         let may_go = |workload: usize| {
             let threads = self.budgets.workloads[workload].threads.max(1.0);
@@ -661,6 +662,9 @@
             let came = row.lanes[w].front().map_or(Nanos::MAX, |(_, _, came)| came);
             came.saturating_add(self.budgets.workloads[w].slack)
         };
+        if paced {
+            return filled.min_by_key(|&w| (row.tags[w], due(w)));
+        }
         let urgent = row.urgent_lane.filter(|&w| !row.lanes[w].is_empty() && may_go(w));
         match urgent {
             Some(lane) if row.urgent < URGENT_IN_A_ROW => Some(lane),
@@ -669,6 +673,26 @@
         }
     }
 
+    /// A workload's part of its team's share: by the importance asked for, among those that wait and itself. An
+    /// urgent one has most of it, the others what that leaves.
+    fn lane_share(&self, now: Nanos, team: usize, workload: usize) -> f64 {
+        let (row, share) = (&self.rows[team], self.budgets.team(team).share);
+        let wanted = |w: usize| row.wanted[w].per_s(now).max(LEAST_SHARE);
+        let waits = |w: &usize| *w == workload || !row.lanes[*w].is_empty();
+        let all: f64 = (0..row.lanes.len()).filter(waits).map(wanted).sum();
+        let part = wanted(workload) / all;
+        let Some(urgent) = row.urgent_lane.filter(waits) else { return share * part };
+        let its = wanted(urgent) / all;
+        let most = its.max(f64::from(URGENT_IN_A_ROW) / f64::from(URGENT_IN_A_ROW + 1));
+        share * if urgent == workload { most } else { part * (1.0 - most) / (1.0 - its).max(1e-9) }
+    }
+
+    /// The virtual start of the team's next statement.
+    fn tag(&self, team: usize) -> u64 {
+        let row = &self.rows[team];
+        (0..row.lanes.len()).filter(|&w| !row.lanes[w].is_empty()).map(|w| row.tags[w]).min().unwrap_or(0)
+    }
+
     /// A team's own part of the window.
     fn part(&self, team: usize) -> f64 {
         let share = self.budgets.team(team).share;
@@ -714,13 +738,14 @@
             let front = row.lanes.iter().filter_map(Lane::front).map(|(ix, _, _)| ix).next();
             let work = front.and_then(|ix| self.tickets[ix.0].as_ref()).map_or(0, |ticket| ticket.work);
             let first = if self.contended { 0 } else { span(work, self.budgets.team(team).share) };
-            row.tag = row.tag.max(self.virtual_now.saturating_add(first));
+            let least = self.virtual_now.saturating_add(first);
+            row.tags.iter_mut().for_each(|tag| *tag = (*tag).max(least));
             self.waiting_shares += self.budgets.team(team).share;
         }
         if was == Some(PACED) && class != PACED {
             self.no_longer_paced(team);
         }
-        self.ranks.set(team, (class, self.rows[team].tag));
+        self.ranks.set(team, (class, self.tag(team)));
     }
 
     fn unrank(&mut self, team: usize) {
@@ -781,6 +806,10 @@
         }
         match to {
             Place::Queued => {
+                if row.lanes[workload].is_empty() {
+                    // What it did not use while nothing of it waited is gone.
+                    row.tags[workload] = row.tags[workload].max(self.virtual_now);
+                }
                 let tickets = &mut self.tickets;
                 let number = row.lanes[workload].push(ix, now, work, |moved, number| {
                     if let Some(ticket) = &mut tickets[moved.0] {
@@ -832,9 +861,9 @@
                         Learned { real: usual, told: usual, usual }
                     })
                     .collect(),
-                coming: vec![Rate::fading(COMING_FADE); workloads.len()],
-                tag: self.virtual_now,
-                debt: 0.0,
+                tags: vec![self.virtual_now; workloads.len()],
+                debts: vec![0.0; workloads.len()],
+                wanted: vec![Rate::fading(ASKED_FADE); workloads.len()],
                 asked: Rate::fading(ASKED_FADE),
                 within: true,
                 beyond_by_hold: false,
@@ -880,7 +909,7 @@
 
     /// Sets what was charged right by what it really was: in the budget at once, in the order with what the team
     /// releases next.
-    fn settle(&mut self, now: Nanos, team: usize, lent: bool, charged: u64, real: u64) {
+    fn settle(&mut self, now: Nanos, (team, workload): (usize, usize), lent: bool, charged: u64, real: u64) {
         if lent || !self.rows[team].within || self.rows[team].beyond_by_hold {
             self.done_for_waiting += real as f64;
         } else {
@@ -889,7 +918,8 @@
         let row = &mut self.rows[team];
         row.used += real as f64 / 1e9;
         // What is owed to it fades as it is not in line; what it owes stays until it is.
-        row.debt = if row.within { 0.0 } else { row.debt + real as f64 - charged as f64 };
+        let debt = row.debts[workload] + real as f64 - charged as f64;
+        row.debts[workload] = if row.within { 0.0 } else { debt };
         row.bucket.fill(self.budgets.team(team), now);
         row.bucket.take(real as f64 / 1e9 - charged as f64 / 1e9);
         if let Some(filling) = row.filling.take() {
@@ -1064,34 +1094,20 @@
             return 0;
         }
         let row = &self.rows[team];
-        let pace = self.pace_of(now, team).max(1.0);
-        let urgent = row.urgent_lane == Some(workload);
-        let slack = self.budgets.workloads[workload].slack;
-        let due = ticket.came.saturating_add(slack);
         let mut ahead = row.lanes[workload].ahead_of(ticket.number).work as f64;
-        let mut coming = 0.0;
-        for (w, lane) in row.lanes.iter().enumerate().filter(|&(w, _)| w != workload) {
-            let earlier = due.saturating_sub(self.budgets.workloads[w].slack);
-            let part = if row.urgent_lane == Some(w) {
-                // It goes ahead of all in three of four.
-                lane.sum().work as f64
-            } else if urgent {
-                lane.before(earlier).work as f64 / f64::from(URGENT_IN_A_ROW + 1)
-            } else {
-                lane.before(earlier).work as f64
-            };
-            ahead += part;
-            if !urgent && earlier > now {
-                // What comes until then in more pressing workloads goes ahead too.
-                let span = ((earlier - now) as f64).min(ahead / pace * 1e9) / 1e9;
-                coming += row.coming[w].per_s(now) * span;
+        let in_order = if self.ranks.rank(team).is_some_and(|(class, _)| class == PACED) {
+            // Its workload's own part of the share, however much of others comes.
+            let share = self.lane_share(now, team, workload).max(LEAST_SHARE);
+            let behind = row.tags[workload].saturating_sub(self.virtual_now) as f64;
+            (ahead / share + behind) / self.usual_pace(now).max(1e-9) * 1e9
+        } else {
+            let due = ticket.came.saturating_add(self.budgets.workloads[workload].slack);
+            for (w, lane) in row.lanes.iter().enumerate().filter(|&(w, _)| w != workload) {
+                let earlier = due.saturating_sub(self.budgets.workloads[w].slack);
+                ahead += lane.before(earlier).work as f64;
             }
-        }
-        ahead += coming;
-        let share = self.budgets.team(team).share.max(LEAST_SHARE);
-        let paced = self.ranks.rank(team).is_some_and(|(class, _)| class == PACED);
-        let behind = if paced { row.tag.saturating_sub(self.virtual_now) as f64 * share } else { 0.0 };
-        let in_order = (ahead + behind) / pace * 1e9;
+            ahead / self.pace_of(now, team).max(1.0) * 1e9
+        };
         let budget = self.budgets.team(team);
         let by_budget = if budget.work_per_s.is_finite() {
             ((ahead / 1e9 - row.bucket.left()) / budget.work_per_s.max(1e-9) * 1e9).max(0.0)
