Floods as ramp and pulses, a thousand teams, the cost of a decision measured

The hard cases of the queues lacked figures. team-flood plays ramps, pulses and a thousand teams of which one is busy; the benchmark times a whole decision; an urgent workload keeps its place until it is empty, so that parts don't flip.

--- a/crates/ivypitch-lab/src/experiments.rs
+++ b/crates/ivypitch-lab/src/experiments.rs
@@ -107,11 +107,59 @@
     };
     let place = format!("virtual time, {gateways} gateways, {engines} engines, {seconds} s");
     flood_bounds(report, &place, &calm, &without, &with, cores * seconds as f64);
+    // The others' service holds through floods of other shapes too.
+    for (name, shape) in [
+        ("ramp", Flood::Ramp { times: TIMES, from: 5 * SECOND, until: span }),
+        ("pulses", Flood::Pulses { times: TIMES, from: 5 * SECOND, until: span }),
+    ] {
+        let figures = play(shape, true);
+        for t in (0..TEAMS.len()).filter(|&t| t != FLOODS) {
+            let kept = figures.teams[t].service() / calm.teams[t].service().max(1e-9);
+            let what = format!("{place}: {name}: {} keeps of its service", TEAMS[t].0);
+            report.bounds.push(Bound::new(&what, kept, 0.95, f64::MAX));
+        }
+        report.run(&place, name, figures);
+    }
+    one_of_many(report, seed);
     report.run(&place, "no flood, queues", calm);
     report.run(&place, "flood, no queues", without);
     report.run(&place, "flood, queues", with);
 }
 
+/// A thousand teams of which one is busy: it gets what it would alone.
+fn one_of_many(report: &mut Report, seed: u64) {
+    const MANY: usize = 1000;
+    let (gateways, engines, span) = (4, 4, 10 * SECOND);
+    let works = traffic::workloads(0.1);
+    let model = Model { cores: 16.0, ..Model::default() };
+    let cores = engines as f64 * model.cores;
+    let play = |teams: usize| {
+        let all: Vec<Team> = (0..teams)
+            .map(|t| Team {
+                name: format!("team-{t}"),
+                demand: if t == 0 { 2.0 * cores } else { 0.0001 },
+                flood: Flood::None,
+                tells: 1.0,
+            })
+            .collect();
+        let statements = traffic::statements(&works, &all, span, seed);
+        let fleet = Fleet::new(Plan {
+            gateways,
+            engines,
+            model: model.clone(),
+            works: &works,
+            teams: all.iter().map(|t| t.name.clone()).collect(),
+            statements: &statements,
+            budgets: Some(budgets(&works, &vec![1.0; teams])),
+            seed,
+            allowances: vec![cores; teams],
+        });
+        fleet.run().teams[0].used
+    };
+    let what = "virtual time, the one busy team of 1,000 gets of what it would alone";
+    report.bounds.push(Bound::new(what, play(MANY) / play(1).max(1e-9), 0.95, f64::MAX));
+}
+
 pub fn flood_bounds(
     report: &mut Report,
     place: &str,
--- a/crates/ivypitch-lab/src/figures.rs
+++ b/crates/ivypitch-lab/src/figures.rs
@@ -79,4 +79,6 @@
     pub median_error: f64,
     /// Core-seconds that came to nothing.
     pub wasted: f64,
+    /// CPU seconds of the gateway, on sockets.
+    pub cpu_s: f64,
 }
--- a/crates/ivypitch-lab/src/report.rs
+++ b/crates/ivypitch-lab/src/report.rs
@@ -94,6 +94,11 @@
                     team.refused_later
                 );
             }
+            if run.figures.cpu_s > 0.0 {
+                let asked: u64 = run.figures.teams.iter().map(|t| t.tries).sum();
+                let each = run.figures.cpu_s * 1e6 / asked.max(1) as f64;
+                let _ = writeln!(text, "  {:<18} gateway's CPU {each:.0} us a statement", run.name);
+            }
             if run.figures.told > 0 {
                 let f = &run.figures;
                 let good = f.good as f64 / f.told as f64;
--- a/crates/ivypitch-lab/src/sockets.rs
+++ b/crates/ivypitch-lab/src/sockets.rs
@@ -601,6 +601,8 @@
             Timer::after(Duration::from_millis(20)).await;
         }
         let figures = count(&plan, &clients, &shared, &engines, begun);
+        let mut figures = figures;
+        figures.cpu_s = cpu_s(child.id());
         let pid = child.id().to_string();
         let _ =
             smol::unblock(move || std::process::Command::new("kill").args(["-TERM", &pid]).status()).await;
@@ -612,6 +614,13 @@
     }))
 }
 
+/// CPU seconds of a process so far, as the system counts them in hundredths; 0 where it doesn't tell.
+fn cpu_s(pid: u32) -> f64 {
+    let stat = std::fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+    let fields = stat.rsplit(')').next().unwrap_or("").split_whitespace();
+    fields.skip(11).take(2).filter_map(|n| n.parse::<f64>().ok()).sum::<f64>() / 100.0
+}
+
 fn live(second: u64, clients: &Clients, shared: &Shared, begun: Nanos, shown: &mut [(u64, u64)]) {
     let mut now = vec![(0u64, 0u64); shown.len()];
     for (told, asked) in clients.told.borrow().iter().zip(&shared.statements) {
--- a/crates/ivypitch-teams/benches/index.rs
+++ b/crates/ivypitch-teams/benches/index.rs
@@ -10,6 +10,8 @@
 use ivypitch_teams::lane::Lane;
 use ivypitch_teams::ranks::Ranks;
 use ivypitch_teams::wheel::Wheel;
+use ivypitch_teams::window::Way;
+use ivypitch_teams::{Budgets, Claim, Output, TeamBudget, Teams, WorkloadTerms};
 
 const SIZES: [(usize, usize); 4] = [(1_000, 3), (1_000, 1_000), (100_000, 3), (100_000, 1_000)];
 
@@ -127,6 +129,69 @@
     }
 }
 
+/// Acts of the whole are dropped, counts kept.
+#[derive(Default)]
+struct Count(u64);
+
+impl Output for Count {
+    fn release(&mut self, _stmt: StmtIx, _within: bool) {
+        self.0 += 1;
+    }
+    fn reject(&mut self, _stmt: StmtIx, _come_back: u64) {
+        self.0 += 1;
+    }
+    fn mode(&mut self, _team: Option<usize>, _line: &str) {}
+}
+
+/// The whole decision: one statement comes and, its team over its share, waits or is sent away; one that waits leaves.
+fn decisions(c: &mut Criterion) {
+    for (waiting, teams) in SIZES {
+        let terms = |importance| WorkloadTerms {
+            importance,
+            slo_time: 800_000_000,
+            threads: 1.0,
+            is_load: false,
+            usual_work: 100_000_000,
+            slack: 320_000_000,
+            longest_wait: u64::MAX / 8,
+        };
+        let budgets = Budgets {
+            workloads: vec![terms(1.0), terms(8.0), terms(8.0)],
+            teams: vec![TeamBudget::default(); teams],
+            other: TeamBudget::default(),
+            most_queued: usize::MAX,
+            most_queued_bytes: usize::MAX,
+            preempts_from: 100.0,
+            longest_come_back: 2_000_000_000,
+            window: Way::Fixed,
+        };
+        let (mut all, mut out) = (Teams::new(budgets, 7, 0), Count::default());
+        // Too little to serve any of it: all of it waits.
+        all.capacity(0, 0.001, &mut out);
+        let claim = |n: usize| Claim {
+            team: n % teams,
+            workload: n % 3,
+            told_work: 1_000,
+            bytes: 100,
+            deadline: u64::MAX / 4,
+        };
+        (0..waiting).for_each(|n| all.arrive(0, StmtIx(n), claim(n), &mut out));
+        let (mut n, mut now) = (0, 0);
+        c.bench_function(
+            &format!("decision: one comes, one leaves, {waiting} waiting, {teams} teams"),
+            |b| {
+                b.iter(|| {
+                    n = (n + 7919) % waiting;
+                    now += 1_000;
+                    all.leave(now, StmtIx(n), &mut out);
+                    all.arrive(now, StmtIx(n), claim(n), &mut out);
+                });
+            },
+        );
+        println!("{} waiting, {teams} teams: {} bytes a statement", all.queued(), all.bytes_held() / waiting);
+    }
+}
+
 fn wheel(c: &mut Criterion) {
     for count in [1_000usize, 100_000] {
         let name = |what| format!("{what}, {count} timers");
@@ -176,6 +241,6 @@
     config = Criterion::default().sample_size(20).without_plots()
         .warm_up_time(std::time::Duration::from_millis(200))
         .measurement_time(std::time::Duration::from_millis(600));
-    targets = index, wheel
+    targets = decisions, index, wheel
 }
 criterion_main!(all);
--- a/crates/ivypitch-teams/src/teams.rs
+++ b/crates/ivypitch-teams/src/teams.rs
@@ -44,6 +44,8 @@
 const MOST_BACK: f64 = 0.5;
 /// A lane that preempts goes first in so many of so many releases; the others' first one goes in between.
 const URGENT_IN_A_ROW: u8 = 3;
+/// Where the clock paces its team, such a lane has at least this part of its share.
+const URGENT_PART: f64 = 0.5;
 /// A preempting statement pushes out so many waiting ones at most: each was paid for by its own arrival.
 const MOST_PUSHED_OUT: usize = 8;
 /// Smoothing of the ratio of true to told work, and the evidence that the told one counts at first.
@@ -319,7 +321,10 @@
         let told_until = now + ((until.saturating_sub(now)) as f64 * ADMIT_PART) as Nanos;
         if now.saturating_add(wait) > told_until && self.preempts(workload) {
             // Its lane goes ahead of what matters less; that goes back in line.
-            self.rows[team].urgent_lane = Some(workload);
+            let row = &mut self.rows[team];
+            if row.urgent_lane.is_none_or(|urgent| row.lanes[urgent].is_empty()) {
+                row.urgent_lane = Some(workload);
+            }
             wait = self.wait(now, ix);
         }
         if now.saturating_add(wait) > told_until {
@@ -673,17 +678,19 @@
         }
     }
 
-    /// A workload's part of its team's share: by the importance asked for, among those that wait and itself. An
-    /// urgent one has most of it, the others what that leaves.
+    /// A workload's part of its team's share: by the importance asked for, among those that wait or pay and
+    /// itself. An urgent one has half of it at least, the others what that leaves.
     fn lane_share(&self, now: Nanos, team: usize, workload: usize) -> f64 {
         let (row, share) = (&self.rows[team], self.budgets.team(team).share);
         let wanted = |w: usize| row.wanted[w].per_s(now).max(LEAST_SHARE);
-        let waits = |w: &usize| *w == workload || !row.lanes[*w].is_empty();
+        // One that is empty still pays for what it released last.
+        let pays = |w: usize| !row.lanes[w].is_empty() || row.tags[w] > self.virtual_now;
+        let waits = |w: &usize| *w == workload || pays(*w);
         let all: f64 = (0..row.lanes.len()).filter(waits).map(wanted).sum();
         let part = wanted(workload) / all;
         let Some(urgent) = row.urgent_lane.filter(waits) else { return share * part };
         let its = wanted(urgent) / all;
-        let most = its.max(f64::from(URGENT_IN_A_ROW) / f64::from(URGENT_IN_A_ROW + 1));
+        let most = its.max(URGENT_PART);
         share * if urgent == workload { most } else { part * (1.0 - most) / (1.0 - its).max(1e-9) }
     }
 
--- a/crates/ivypitch-teams/src/waits.rs
+++ b/crates/ivypitch-teams/src/waits.rs
@@ -15,7 +15,7 @@
 const BIAS_FADE: f64 = 4.0;
 const BIAS_PRIOR: f64 = 1e9;
 const LEAST_BIAS: f64 = 0.5;
-const MOST_BIAS: f64 = 1.5;
+const MOST_BIAS: f64 = 2.0;
 /// What can't be told more finely.
 pub const GRAIN: Nanos = 50_000_000;
 const MS: Nanos = 1_000_000;
