The window of the queues opens while the cores have room, however slow executions are

Slowness closes the window only where the cores' time is well used (0.8); it may be 2.5 times the best, and the window closes to 0.7 of its start at the least.

--- a/crates/ivypitch-teams/src/teams.rs
+++ b/crates/ivypitch-teams/src/teams.rs
@@ -22,8 +22,8 @@
 const RELAXED: f64 = 0.6;
 /// Up to these parts of it the clock lets statements go, and teams within their share get back what they lent without
 /// waiting for those who borrowed it; each of these has so many times its own part of the window.
-const FULL: f64 = 2.0;
-const CALLED_BACK: f64 = 2.5;
+const FULL: f64 = 1.4;
+const CALLED_BACK: f64 = 2.0;
 const OWN_PART: f64 = 1.5;
 /// And room for so many of the widest statements at least.
 const OWN_STATEMENTS: f64 = 3.0;
@@ -384,7 +384,7 @@
         if let Some(real) = real {
             self.learn(team, workload, told, real);
             if let Some(took) = took {
-                self.window.ended(now, took, (real as f64 / threads) as Nanos);
+                self.window.ended(now, took, real, (real as f64 / threads) as Nanos);
             }
         }
         self.rank(team);
--- a/crates/ivypitch-teams/src/window.rs
+++ b/crates/ivypitch-teams/src/window.rs
@@ -8,13 +8,16 @@
 /// And this many times the root of those threads: a small share needs more room for chance than a large one.
 const HEADROOM: f64 = 0.5;
 /// Its ends, as parts of where it starts.
-const LEAST: f64 = 0.4;
+const LEAST: f64 = 0.7;
 const MOST: f64 = 2.0;
 /// How often it is looked at, and by how many executions at least.
 const PERIOD: Nanos = 100_000_000;
 const FEWEST: u32 = 8;
 /// Executions may be slower than the best by so much before the window closes.
-const TOLERANCE: f64 = 1.5;
+const TOLERANCE: f64 = 2.5;
+/// Below this part of the cores' time used, slow executions are no reason to close it: they wait for disks or for
+/// others, and the cores have room.
+const WELL_USED: f64 = 0.8;
 /// The most that one look changes.
 const STEP_DOWN: f64 = 0.9;
 const STEP_UP: f64 = 1.05;
@@ -46,6 +49,9 @@
     slowness: f64,
     best: f64,
     seen: u32,
+    /// Work done (ns) since the last look, and the part of the cores' time used, smoothed.
+    done: f64,
+    used: f64,
     looked_at: Nanos,
     /// It was full since the last look: only then may it grow.
     bound: bool,
@@ -61,6 +67,8 @@
             slowness: 1.0,
             best: f64::INFINITY,
             seen: 0,
+            done: 0.0,
+            used: 1.0,
             looked_at: 0,
             bound: false,
         }
@@ -110,11 +118,12 @@
         self.bound = true;
     }
 
-    /// An execution has ended well: its time on the engine, and the time that its work should have taken there.
-    pub fn ended(&mut self, now: Nanos, took: Nanos, should: Nanos) {
+    /// An execution has ended well: its time on the engine, its work, and the time that should have taken there.
+    pub fn ended(&mut self, now: Nanos, took: Nanos, work: Nanos, should: Nanos) {
         if should == 0 || took == 0 {
             return;
         }
+        self.done += work as f64;
         let slowness = took as f64 / should as f64;
         self.slowness += LEARN * (slowness - self.slowness);
         self.seen += 1;
@@ -127,7 +136,12 @@
         } else {
             self.slowness
         };
+        let span = now.saturating_sub(self.looked_at).max(1) as f64;
+        if self.looked_at > 0 && self.bound {
+            self.used += LEARN * (self.done / span / self.cores.max(1e-9) - self.used);
+        }
         let ratio = TOLERANCE * self.best / self.slowness.max(1e-9);
+        let ratio = if self.used < WELL_USED { ratio.max(STEP_UP) } else { ratio };
         match self.way {
             Way::Fixed => {}
             Way::Gradient => {
@@ -141,6 +155,6 @@
             Way::Additive => {}
         }
         self.hold_ends();
-        (self.seen, self.looked_at, self.bound) = (0, now, false);
+        (self.seen, self.done, self.looked_at, self.bound) = (0, 0.0, now, false);
     }
 }
