A refusing address that nobody can take; new connections and calm CPU in team-flood

Cause: the test of a refused connection gave its port away, and another test's listener took it now and then. The stand-in holds a bound socket that never listens.

team-flood plays on sockets a flood in which each statement is a new connection, and calm traffic with and without the queues side by side.

--- a/crates/ivypitch-lab/src/experiments.rs
+++ b/crates/ivypitch-lab/src/experiments.rs
@@ -26,7 +26,7 @@
 
 pub const TEAMS: [(&str, f64); 3] = [("retail", 0.5), ("merchant", 0.35), ("agents", 0.15)];
 /// The team that floods.
-const FLOODS: usize = 1;
+pub const FLOODS: usize = 1;
 /// Part of the cores that the teams usually ask for.
 const USUAL: f64 = 0.6;
 const TIMES: f64 = 10.0;
--- a/crates/ivypitch-lab/src/sockets.rs
+++ b/crates/ivypitch-lab/src/sockets.rs
@@ -20,7 +20,7 @@
 use smol::{Async, LocalExecutor, Timer};
 
 use crate::engine::{Ended, Engine, Model, Query};
-use crate::experiments::{flood_bounds, teams};
+use crate::experiments::{FLOODS, TEAMS, flood_bounds, teams};
 use crate::figures::{Figures, TeamFigures};
 use crate::report::{Bound, Report};
 use crate::stand_ins::{login, query, spawn_with};
@@ -687,8 +687,8 @@
     let cores = engines as f64 * model.cores;
     let span = seconds * SECOND;
     let step = Flood::Step { times: 10.0, from: 3 * SECOND, until: span };
-    let shares = crate::experiments::TEAMS;
-    let run = |flood: Flood, queues: bool| {
+    let shares = TEAMS;
+    let run = |flood: Flood, queues: bool, new_connections: bool| {
         let all = teams(cores, flood);
         play(Plan {
             engines,
@@ -698,17 +698,40 @@
             statements: traffic::statements(&works, &all, span, seed),
             own: queues.then(|| own(&shares)),
             allowances: shares.iter().map(|(_, share)| share * cores).collect(),
-            new_connections: false,
+            new_connections,
             seed,
             live: false,
         })
     };
     let (calm, without, with) = std::thread::scope(|scope| {
-        let calm = scope.spawn(|| run(Flood::None, true));
-        let without = scope.spawn(|| run(step, false));
-        let with = run(step, true);
+        let calm = scope.spawn(|| run(Flood::None, true, false));
+        let without = scope.spawn(|| run(step, false, false));
+        let with = run(step, true, false);
         (calm.join(), without.join(), with)
     });
+    // Side by side: what the queues cost while all is calm, and a flood in which each statement is a new connection.
+    let (plain, queued, anew) = std::thread::scope(|scope| {
+        let plain = scope.spawn(|| run(Flood::None, false, false));
+        let queued = scope.spawn(|| run(Flood::None, true, false));
+        let anew = run(step, true, true);
+        (plain.join(), queued.join(), anew)
+    });
+    match (&calm, plain, queued, anew) {
+        (Ok(Ok(calm)), Ok(Ok(plain)), Ok(Ok(queued)), Ok(anew)) => {
+            let place = format!("sockets, 1 gateway, {engines} engines, {seconds} s");
+            for t in (0..TEAMS.len()).filter(|&t| t != FLOODS) {
+                let kept = anew.teams[t].service() / calm.teams[t].service().max(1e-9);
+                let what = format!("{place}: new connections: {} keeps of its service", TEAMS[t].0);
+                report.bounds.push(Bound::new(&what, kept, 0.95, f64::MAX));
+            }
+            let what = format!("{place}: CPU of calm traffic with the queues, against without");
+            // Both are counted in hundredths of a second: told here, judged over longer runs.
+            report.bounds.push(Bound::new(&what, queued.cpu_s / plain.cpu_s.max(1e-9), 0.0, f64::MAX));
+            report.run(&place, "new connections", anew);
+            report.run(&place, "no flood, none", plain);
+        }
+        _ => report.bounds.push(Bound::new("the further runs on sockets end", 0.0, 1.0, f64::MAX)),
+    }
     match (calm, without, with) {
         (Ok(Ok(calm)), Ok(Ok(without)), Ok(with)) => {
             let place = format!("sockets, 1 gateway, {engines} engines, {seconds} s");
--- a/crates/ivypitch-lab/src/stand_ins.rs
+++ b/crates/ivypitch-lab/src/stand_ins.rs
@@ -4,6 +4,7 @@
 use std::collections::VecDeque;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -166,6 +167,16 @@
     Some(call)
 }
 
+/// An address that refuses connections for as long as the socket is held: bound and never listened on, so that no
+/// other listener can come by it.
+pub fn refusing() -> (OwnedFd, SocketAddr) {
+    use rustix::net::{AddressFamily, SocketType, bind, getsockname, socket};
+    let held = socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+    bind(&held, &SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let address = SocketAddr::try_from(getsockname(&held).unwrap()).unwrap();
+    (held, address)
+}
+
 /// The journal service: each connection's first line is kept, and gets the next of the scripts; then a line
 /// with the last number each tenth of a second, until it is told to close.
 pub struct Journal {
