--- a/crates/ivypitch-teams/src/teams.rs
+++ b/crates/ivypitch-teams/src/teams.rs
@@ -1101,7 +1101,13 @@
     fn until_room(&self, now: Nanos, workload: usize, most: f64) -> f64 {
         let threads = self.budgets.workloads[workload].threads.max(1.0);
         let over = self.out + threads - most * self.window.threads();
-        if over <= 0.0 { 0.0 } else { over / self.freed.per_s(now).max(1e-3) * 1e9 }
+        if over <= 0.0 {
+            return 0.0;
+        }
+        // Before the first are over, what is out will be in the longest usual time.
+        let usual = self.budgets.workloads.iter().map(|w| w.usual_work as f64 / 1e9 / w.threads.max(1.0));
+        let promised = self.out / usual.fold(1e-3, f64::max);
+        over / self.freed.per_s(now).max(promised).max(1e-3) * 1e9
     }
 
     /// How long a queued statement will wait from now, by what is ahead of it and the pace of its team.
