--- a/crates/ivypitch-lab/src/traffic.rs
+++ b/crates/ivypitch-lab/src/traffic.rs
@@ -135,7 +135,8 @@
     pub slo: Nanos,
 }
 
-const GROUPS: u32 = 24;
+/// Several for each engine at the largest size, or few engines would have all the work.
+const GROUPS: u32 = 240;
 /// Told estimates scatter by so much.
 const TOLD_SCATTER: f64 = 0.3;
 
