One reading of the own file at a time; figures that judge nothing are told, not held

Found on reading the whole change again: each SIGHUP started a child of its own without a bound, and an earlier one could win over a later; the lab printed 'holds' for figures that no bound can fail; a field of the queues was written and never read.

A later SIGHUP ends the earlier reading and its child. The lab says 'told' for such figures and judges the others alone.

--- a/crates/ivypitch-gateway/src/life/program.rs
+++ b/crates/ivypitch-gateway/src/life/program.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use async_channel::Sender;
-use async_executor::LocalExecutor;
+use async_executor::{LocalExecutor, Task};
 use async_io::{Async, Timer};
 use async_signal::{Signal, Signals};
 use futures_lite::{FutureExt, StreamExt, future::yield_now};
@@ -76,6 +76,8 @@
     given: Rc<Given>,
     places: usize,
     has_queues: bool,
+    /// The own file being read again.
+    reading: Option<Task<()>>,
 }
 
 /// The signals that the program heeds. From here on none of them ends it unasked; each waits to be read.
@@ -133,6 +135,7 @@
             given: kept,
             places: bounds.clients,
             has_queues,
+            reading: None,
         };
         log::info!(
             "{name} {}: listens on {listen}, {workloads} workloads, {} clients, {} engine connections",
@@ -212,7 +215,8 @@
                     Err(why) => log::error!("reload: own settings stay: {why}"),
                 }
             };
-            self.executor.spawn(task).detach();
+            // One child at a time: a later signal ends the reading of an earlier one.
+            self.reading = Some(self.executor.spawn(task));
         }
         let journal = configuration::from_file(&self.configuration)
             .and_then(|new| new.journal.ok_or_else(|| "it names no journal".into()));
--- a/crates/ivypitch-lab/src/report.rs
+++ b/crates/ivypitch-lab/src/report.rs
@@ -20,6 +20,11 @@
         Bound { what: what.to_owned(), is, least, most }
     }
 
+    /// A figure that is told beside the bounds and judges nothing.
+    pub fn told_only(&self) -> bool {
+        self.most > 1e9 && self.least <= 0.0
+    }
+
     pub fn holds(&self) -> bool {
         self.is >= self.least && self.is <= self.most
     }
@@ -50,7 +55,8 @@
     }
 
     pub fn holds(&self) -> bool {
-        !self.bounds.is_empty() && self.bounds.iter().all(Bound::holds)
+        let judged = self.bounds.iter().filter(|bound| !bound.told_only());
+        judged.clone().count() > 0 && judged.clone().all(Bound::holds)
     }
 
     pub fn text(&self) -> String {
@@ -111,10 +117,14 @@
         }
         text.push('\n');
         for bound in &self.bounds {
-            let holds = if bound.holds() { "holds" } else { "FAILS" };
+            let holds = match bound.holds() {
+                _ if bound.told_only() => "told ",
+                true => "holds",
+                false => "FAILS",
+            };
             let wanted = match (bound.least, bound.most) {
                 (least, most) if least == most => format!("{least}"),
-                (least, most) if most > 1e9 && least <= 0.0 => "told only".to_owned(),
+                _ if bound.told_only() => "told only".to_owned(),
                 (least, most) if most > 1e9 => format!("at least {least}"),
                 (least, most) => format!("{least} to {most}"),
             };
--- a/crates/ivypitch-teams/src/teams.rs
+++ b/crates/ivypitch-teams/src/teams.rs
@@ -230,8 +230,6 @@
     /// Queueing since, or not; and when somebody last waited.
     queueing: Option<Nanos>,
     waited_at: Nanos,
-    /// The program ends.
-    ending: bool,
 }
 
 impl Teams {
@@ -264,7 +262,6 @@
             chances: 0,
             queueing: None,
             waited_at: now,
-            ending: false,
             budgets,
         };
         teams.have_rows(teams.budgets.teams.len(), now);
@@ -415,7 +412,6 @@
 
     /// The program ends: what can't be met by then is rejected now.
     pub fn ending(&mut self, now: Nanos, by: Nanos, out: &mut dyn Output) {
-        self.ending = true;
         let queued: Vec<StmtIx> =
             (0..self.tickets.len()).map(StmtIx).filter(|&ix| self.is_queued(ix)).collect();
         for ix in queued {
