--- a/crates/ivypitch-command/tests/serving.rs
+++ b/crates/ivypitch-command/tests/serving.rs
@@ -378,7 +378,7 @@
 }
 
 #[test]
-fn no_connection_to_an_engine_carries_two_statements_so_late_copies_reach_nobody() {
+fn an_engine_that_answers_for_what_it_cannot_know_has_no_connection_kept() {
     let engine = Engine::served();
     let gateway = Gateway::start(&ready(&engine));
     let mut client = Client::connect(&gateway);
--- /dev/null
+++ b/crates/ivypitch-custody/src/custody.rs
@@ -0,0 +1,1381 @@
+//! The statements that this gateway acts for, waits for, or may have to take over. One state for each, changed in one
+//! function; what is to be done comes out through [`Output`].
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use ivypitch::interface::{Nanos, SECOND};
+
+use crate::kept::Kept;
+use crate::ledger::{Ledger, Refusal};
+use crate::message::{Answered, End, Epoch, Facts, Grant, Id, Memory, Message, Told, Word};
+use crate::witnesses::Witnesses;
+
+const MS: Nanos = 1_000_000;
+
+/// What becomes of a non-idempotent statement whose grant finds no majority.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Policy {
+    /// Rejected at once.
+    Refuse,
+    /// Sent as without peers, and not taken over later. Where its client comes to the other side of a cut meanwhile,
+    /// that side knows nothing of it.
+    Single,
+}
+
+#[derive(Clone, Debug)]
+pub struct Terms {
+    /// Witnesses of each statement.
+    pub witnesses: usize,
+    /// Of these, so many hear of statements that need no grant.
+    pub told: usize,
+    /// A grant finds its majority in this time, or there is none.
+    pub grant_wait: Nanos,
+    /// A grant is used within so long after it was asked for, or not at all.
+    pub grant_lives: Nanos,
+    /// The second witness claims so long after the first was to, the third twice so long.
+    pub claim_step: Nanos,
+    pub claim_wait: Nanos,
+    /// A witness that was asked for a statement answers in this time.
+    pub ask_wait: Nanos,
+    /// What was asked of the gateway that has it is asked again after so long.
+    pub ask_again: Nanos,
+    pub tell_every: Nanos,
+    /// No client waits longer for a statement.
+    pub longest: Nanos,
+    /// After its time a client may come back for so long.
+    pub remembered: Nanos,
+    pub policy: Policy,
+    pub kept_bytes_a_customer: usize,
+    pub most_entries: usize,
+}
+
+impl Default for Terms {
+    fn default() -> Terms {
+        Terms {
+            witnesses: 5,
+            told: 3,
+            grant_wait: 100 * MS,
+            grant_lives: 400 * MS,
+            claim_step: 120 * MS,
+            claim_wait: 150 * MS,
+            ask_wait: 40 * MS,
+            ask_again: 400 * MS,
+            tell_every: 20 * MS,
+            longest: 25 * SECOND,
+            remembered: 5 * SECOND,
+            policy: Policy::Refuse,
+            kept_bytes_a_customer: 4 << 20,
+            most_entries: 200_000,
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Stage {
+    /// A client came; witnesses are asked whether it is known.
+    Asking,
+    /// This gateway acts for it; no grant of this epoch stands.
+    Held,
+    /// This gateway acts for it, and a grant stands.
+    Witnessed,
+    /// Its gateway was lost; this one's turn to claim may come.
+    Orphaned,
+    /// This gateway has asked for leave to act for it.
+    Claimed,
+    /// Taken over: this gateway acts for an execution that another sent.
+    Watched,
+    /// Another gateway acts for it; clients here wait for its word.
+    Elsewhere,
+    /// Its end is known here, with its rows as long as they are kept.
+    Kept,
+    /// A client that came back has had the end.
+    Delivered,
+    /// Over, or another's.
+    Closed,
+    /// Its execution may have run and nobody can say more.
+    InDoubt,
+}
+
+/// What is said to a client's arrival.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Arrived {
+    /// New: it goes on its way; this gateway acts for it.
+    Proceed,
+    /// An answer or [`Output::proceed`] follows.
+    Waits,
+    Word(Word),
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Denied {
+    /// No majority of its witnesses can be had, and the own file says refuse. `clean`: nobody else can have sent it;
+    /// where a member was lost lately, its client may have come from there.
+    NoMajority { clean: bool },
+    /// Another acts for it: the execution is not sent, and the client waits here for the other's word.
+    Elsewhere,
+}
+
+/// What a send is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Leave {
+    Go,
+    /// [`Output::go`] or [`Output::denied`] follows.
+    Wait,
+    Denied(Denied),
+}
+
+pub trait Output {
+    fn tell(&mut self, to: u16, message: Message);
+    fn go(&mut self, id: Id, number: u32);
+    fn denied(&mut self, id: Id, number: u32, why: Denied);
+    /// Nobody knows it: it goes on its way as a new statement.
+    fn proceed(&mut self, id: Id);
+    /// This gateway acts for it from now on. `at`: the engine where an execution may be, to be asked and not started.
+    fn adopt(&mut self, id: Id, facts: &Facts, left: Nanos, at: Option<u64>);
+    /// To a client that waits here.
+    fn answer(&mut self, waiter: u64, word: &Word);
+    fn log(&mut self, line: &str);
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Waiter {
+    Local(u64),
+    Remote { place: u16, serial: u64 },
+}
+
+struct Pending {
+    grant: Grant,
+    asked_at: Nanos,
+    stands: BTreeSet<u16>,
+    refused: BTreeMap<u16, Option<Told>>,
+}
+
+struct Case {
+    stage: Stage,
+    /// Under which this gateway acts, or asks to.
+    epoch: Epoch,
+    facts: Facts,
+    deadline: Nanos,
+    grants: Vec<Grant>,
+    pending: Option<Pending>,
+    promises: BTreeMap<u16, Option<Told>>,
+    /// The token of the client whose statement is on its way here.
+    own: Option<u64>,
+    waiters: Vec<Waiter>,
+    /// Witnesses that are still to be asked.
+    to_ask: Vec<u16>,
+    /// Where it is, or whom was asked last.
+    at: u16,
+    serial: u64,
+    /// Witnesses have heard of it.
+    is_told: bool,
+    tries: u32,
+    wake: Nanos,
+    until: Nanos,
+}
+
+impl Case {
+    fn is_open(&self) -> bool {
+        self.stage <= Stage::Elsewhere
+    }
+
+    /// This gateway acts for it.
+    fn acts(&self) -> bool {
+        matches!(self.stage, Stage::Held | Stage::Witnessed | Stage::Watched)
+    }
+
+    fn told(&self, now: Nanos, id: Id, with_text: bool) -> Told {
+        let text = if with_text { self.facts.text.clone() } else { Vec::new() };
+        let left_ms = (self.deadline.saturating_sub(now) / MS) as u32;
+        let facts = Some(Facts { left_ms, text, ..self.facts.clone() });
+        Told { id, epoch: self.epoch, facts, grants: self.grants.clone(), end: None }
+    }
+}
+
+/// Counts since the start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Totals {
+    pub orphaned: u64,
+    pub claimed: u64,
+    pub watched: u64,
+    pub kept: u64,
+    pub delivered: u64,
+    pub in_doubt: u64,
+    pub no_majority: u64,
+    /// Word of a client that found another gateway acting.
+    pub elsewhere: u64,
+}
+
+/// After its loss an engine may still have the answer of a statement that ended so lately.
+const STILL_AT_ENGINE: Nanos = 3 * SECOND / 2;
+/// How often a claim is tried anew while nobody else takes it.
+const MOST_CLAIMS: u32 = 20;
+const TOLD_AT_ONCE: usize = 64;
+/// A member that came up is told all so long after a grant's life; one that began lately tells again after so long.
+const TEACH_SLACK: Nanos = 50 * MS;
+const TEACH_AGAIN: Nanos = 400 * MS;
+
+pub struct Custody {
+    place: u16,
+    birth: u64,
+    terms: Terms,
+    witnesses: Witnesses,
+    ledger: Ledger,
+    cases: BTreeMap<Id, Case>,
+    wakes: BTreeSet<(Nanos, Id)>,
+    kept: Kept,
+    /// Births of the members that are heard, by place.
+    heard: Vec<Option<u64>>,
+    suspected: BTreeSet<u16>,
+    /// When the newest loss was heard of.
+    last_loss: Option<Nanos>,
+    /// When each end was heard of, while its rows may still be at an engine.
+    ended: BTreeMap<Id, Nanos>,
+    /// What the next batch tells, by statement: its end, where it has one.
+    news: BTreeMap<Id, Option<End>>,
+    next_tell: Nanos,
+    /// When members that came up are told all next, and until when they may need it.
+    to_teach: BTreeMap<u16, (Nanos, Nanos)>,
+    began: Nanos,
+    serial: u64,
+    totals: Totals,
+}
+
+impl Custody {
+    /// `zones`: of each seat of the list, by place.
+    pub fn new(place: u16, birth: u64, zones: Vec<u16>, terms: Terms, now: Nanos) -> Custody {
+        let seats = zones.len();
+        let witnesses = Witnesses::new(zones, terms.witnesses);
+        let ledger =
+            Ledger::new(place, now, terms.grant_lives, terms.longest, terms.remembered, terms.most_entries);
+        Custody {
+            place,
+            birth,
+            kept: Kept::new(terms.kept_bytes_a_customer),
+            witnesses,
+            ledger,
+            cases: BTreeMap::new(),
+            wakes: BTreeSet::new(),
+            heard: vec![None; seats],
+            suspected: BTreeSet::new(),
+            last_loss: None,
+            ended: BTreeMap::new(),
+            news: BTreeMap::new(),
+            next_tell: Nanos::MAX,
+            to_teach: BTreeMap::new(),
+            began: now,
+            serial: 0,
+            totals: Totals::default(),
+            terms,
+        }
+    }
+
+    pub fn totals(&self) -> Totals {
+        self.totals
+    }
+
+    /// Open cases, entries as a witness, and bytes of kept results.
+    pub fn sizes(&self) -> (usize, usize, usize) {
+        (self.cases.values().filter(|case| case.is_open()).count(), self.ledger.len(), self.kept.bytes())
+    }
+
+    pub fn stage(&self, id: Id) -> Option<Stage> {
+        self.cases.get(&id).map(|case| case.stage)
+    }
+
+    /// An execution whose client has gone goes on: the client may come back to another gateway.
+    pub fn outlives_client(&self, id: Id) -> bool {
+        self.cases.get(&id).is_some_and(|case| case.acts() && (case.is_told || !case.facts.idempotent))
+    }
+
+    fn is_heard(&self, place: u16, birth: u64) -> bool {
+        if place == self.place {
+            return birth == self.birth;
+        }
+        self.heard.get(usize::from(place)).is_some_and(|&b| b == Some(birth))
+    }
+
+    fn is_there(&self, place: u16) -> bool {
+        place == self.place || self.heard.get(usize::from(place)).is_some_and(Option::is_some)
+    }
+
+    // ---- the own clients ----
+
+    /// A client's statement has come. `asks`: its work is worth a question whether it is known elsewhere.
+    pub fn arrive(
+        &mut self,
+        now: Nanos,
+        id: Id,
+        facts: Facts,
+        asks: bool,
+        waiter: u64,
+        out: &mut dyn Output,
+    ) -> Arrived {
+        self.tidy(now);
+        let mut count = 0;
+        if let Some(case) = self.cases.get_mut(&id) {
+            let is_over = matches!(case.stage, Stage::Closed);
+            if !is_over && case.facts.digest != facts.digest {
+                return Arrived::Word(Word::Different);
+            }
+            if case.is_open() {
+                case.waiters.push(Waiter::Local(waiter));
+                return Arrived::Waits;
+            }
+            let stage = case.stage;
+            count = case.epoch.count;
+            if let Some(word) = self.last_word(id, stage, facts.idempotent) {
+                if matches!(word, Word::Rows(_) | Word::Completed) {
+                    self.totals.delivered += 1;
+                    self.turn(id, Stage::Delivered);
+                }
+                return Arrived::Word(word);
+            }
+            self.forget(id);
+        }
+        let known = self.ledger.get(now, id);
+        if let Some(told) = known.filter(|told| told.facts.is_some() || told.end.is_some()) {
+            count = count.max(told.epoch.count + 1);
+            if told.facts.as_ref().is_some_and(|known| known.digest != facts.digest) {
+                return Arrived::Word(Word::Different);
+            }
+            let case = self.new_case(now, facts.clone(), Stage::Asking);
+            match self.whereabouts(&told) {
+                Whereabouts::At(place) => {
+                    self.insert(id, Case { waiters: vec![Waiter::Local(waiter)], ..case });
+                    self.wait_at(now, id, place, out);
+                    return Arrived::Waits;
+                }
+                Whereabouts::Orphan => {
+                    let grants = told.grants.clone();
+                    self.insert(id, Case { waiters: vec![Waiter::Local(waiter)], grants, ..case });
+                    self.turn(id, Stage::Orphaned);
+                    self.claim(now, id, told.epoch.count + 1, out);
+                    return Arrived::Waits;
+                }
+                Whereabouts::Over(word) if !facts.idempotent => return Arrived::Word(word),
+                Whereabouts::Over(_) | Whereabouts::Nowhere => {}
+            }
+        }
+        if asks || self.in_doubt(now) {
+            let heard: Vec<u16> = self.others(id).into_iter().filter(|&w| self.is_there(w)).collect();
+            if !heard.is_empty() {
+                let mut case = self.new_case(now, facts, Stage::Asking);
+                case.own = Some(waiter);
+                case.to_ask = heard;
+                case.to_ask.reverse();
+                case.epoch.count = count;
+                self.insert(id, case);
+                self.ask_next(now, id, out);
+                return Arrived::Waits;
+            }
+        }
+        let mut case = self.new_case(now, facts, Stage::Held);
+        case.own = Some(waiter);
+        case.epoch.count = count;
+        self.insert(id, case);
+        Arrived::Proceed
+    }
+
+    /// No client that comes now can have been at a gateway that is lost, as far as this one can know.
+    fn is_first(&self, now: Nanos) -> bool {
+        let span = self.terms.longest + self.terms.remembered;
+        now >= self.began + span
+            && self.last_loss.is_none_or(|at| now >= at + span)
+            && self.suspected.is_empty()
+    }
+
+    /// Somebody may have been lost whose statements are not known here yet.
+    fn in_doubt(&self, now: Nanos) -> bool {
+        let window = self.terms.longest.min(5 * SECOND);
+        !self.suspected.is_empty() || self.last_loss.is_some_and(|at| now < at + window)
+    }
+
+    /// A client here waits no more.
+    pub fn leave(&mut self, id: Id, waiter: u64) {
+        if let Some(case) = self.cases.get_mut(&id) {
+            case.waiters.retain(|&held| held != Waiter::Local(waiter));
+            case.own = case.own.filter(|&own| own != waiter);
+        }
+    }
+
+    /// An execution is about to be sent.
+    pub fn grant(&mut self, now: Nanos, id: Id, number: u32, engine: u64, out: &mut dyn Output) -> Leave {
+        let Some(case) = self.cases.get_mut(&id) else { return Leave::Go };
+        let grant = Grant { epoch: case.epoch, number, engine, void: false };
+        if case.facts.idempotent {
+            case.grants.push(grant);
+            self.tell_later(now, id, None);
+            return Leave::Go;
+        }
+        // The module sends such a one anew only where what went before is proved never to have run.
+        if case.grants.iter().any(|grant| !grant.void) {
+            self.word(id, &Word::Aborted, out);
+            self.turn(id, Stage::InDoubt);
+            return Leave::Denied(Denied::Elsewhere);
+        }
+        let told = case.told(now, id, true);
+        case.pending =
+            Some(Pending { grant, asked_at: now, stands: BTreeSet::new(), refused: BTreeMap::new() });
+        for to in self.witnesses.of(id) {
+            if to == self.place {
+                let vote = self.ledger.grant(now, &told, grant, &self.witnesses);
+                self.count_vote(id, self.place, vote.map_err(|why| stands(&why)));
+            } else if self.is_there(to) {
+                out.tell(to, Message::Grant { told: told.clone(), grant });
+            } else {
+                self.count_vote(id, to, Err(None));
+            }
+        }
+        self.wake_case(id, now + self.terms.grant_wait);
+        self.judge_votes(now, id, out)
+    }
+
+    fn count_vote(&mut self, id: Id, from: u16, vote: Result<(), Option<Told>>) {
+        let Some(pending) = self.cases.get_mut(&id).and_then(|case| case.pending.as_mut()) else { return };
+        match vote {
+            Ok(()) => drop(pending.stands.insert(from)),
+            Err(against) => drop(pending.refused.insert(from, against)),
+        }
+    }
+
+    fn judge_votes(&mut self, now: Nanos, id: Id, out: &mut dyn Output) -> Leave {
+        let majority = self.witnesses.majority();
+        let Some(case) = self.cases.get_mut(&id) else { return Leave::Go };
+        let Some(pending) = &case.pending else { return Leave::Wait };
+        let late = now > pending.asked_at + self.terms.grant_lives;
+        if pending.stands.len() >= majority && !late {
+            let grant = pending.grant;
+            case.grants.push(grant);
+            case.pending = None;
+            case.is_told = true;
+            if case.stage == Stage::Held {
+                self.turn(id, Stage::Witnessed);
+            }
+            return Leave::Go;
+        }
+        let open = self.witnesses.count() - pending.stands.len() - pending.refused.len();
+        let hopeless = pending.stands.len() + open < majority;
+        if !hopeless && !late && now < pending.asked_at + self.terms.grant_wait {
+            return Leave::Wait;
+        }
+        let against = pending.refused.values().flatten().cloned().collect::<Vec<Told>>();
+        let grant = Grant { void: true, ..pending.grant };
+        case.pending = None;
+        case.grants.push(grant);
+        self.denied(now, id, against, out)
+    }
+
+    /// No majority: another acts for it, it is over, or the witnesses can't be reached.
+    fn denied(&mut self, now: Nanos, id: Id, against: Vec<Told>, out: &mut dyn Output) -> Leave {
+        self.tell_later(now, id, None);
+        let Some(case) = self.cases.get(&id) else { return Leave::Go };
+        let (digest, mine) = (case.facts.digest, case.epoch);
+        let strongest = against.into_iter().filter(|told| told.epoch != mine || told.end.is_some());
+        let strongest = strongest.max_by_key(|told| (told.end.is_some(), told.epoch));
+        let Some(told) = strongest else {
+            self.totals.no_majority += 1;
+            if self.terms.policy == Policy::Single {
+                return Leave::Go;
+            }
+            return Leave::Denied(Denied::NoMajority { clean: self.is_first(now) });
+        };
+        self.totals.elsewhere += 1;
+        if let Some(case) = self.cases.get_mut(&id)
+            && let Some(own) = case.own.take()
+        {
+            case.waiters.push(Waiter::Local(own));
+        }
+        if told.facts.as_ref().is_some_and(|facts| facts.digest != digest) {
+            self.word(id, &Word::Different, out);
+            self.turn(id, Stage::Closed);
+            return Leave::Denied(Denied::Elsewhere);
+        }
+        match self.whereabouts(&told) {
+            Whereabouts::At(place) => self.wait_at(now, id, place, out),
+            Whereabouts::Over(word) => {
+                self.word(id, &word, out);
+                self.turn(id, if word == Word::Aborted { Stage::InDoubt } else { Stage::Closed });
+            }
+            Whereabouts::Orphan | Whereabouts::Nowhere => {
+                self.turn(id, Stage::Orphaned);
+                self.claim(now, id, told.epoch.count + 1, out);
+            }
+        }
+        Leave::Denied(Denied::Elsewhere)
+    }
+
+    /// What came of an execution, told before the module hears of it.
+    pub fn execution_ended(&mut self, now: Nanos, id: Id, number: u32, never_ran: bool) {
+        let Some(case) = self.cases.get_mut(&id) else { return };
+        let mine = (case.epoch, number);
+        let Some(grant) = case.grants.iter_mut().find(|g| (g.epoch, g.number) == mine) else { return };
+        if never_ran && !grant.void {
+            grant.void = true;
+            self.tell_later(now, id, None);
+        }
+    }
+
+    /// The module has answered the statement for which this gateway acts. Clients that wait beside the first get the
+    /// same.
+    pub fn answered(&mut self, now: Nanos, id: Id, word: Word, out: &mut dyn Output) {
+        let Some(case) = self.cases.get_mut(&id).filter(|case| case.acts()) else { return };
+        let (customer, idempotent, told) = (case.facts.customer, case.facts.idempotent, case.is_told);
+        let taken_over = case.stage == Stage::Watched;
+        case.own = None;
+        case.pending = None;
+        let waited = !case.waiters.is_empty();
+        self.word(id, &word, out);
+        let end = match word {
+            Word::Rows(pages) => {
+                self.kept.put(id, customer, pages);
+                self.totals.kept += u64::from(taken_over);
+                self.turn(id, if waited { Stage::Delivered } else { Stage::Kept });
+                End::Completed { rows_at: self.place, birth: self.birth }
+            }
+            Word::Completed => {
+                self.turn(id, Stage::Kept);
+                End::Completed { rows_at: self.place, birth: self.birth }
+            }
+            Word::Rejected { .. } => {
+                self.turn(id, Stage::Closed);
+                End::Rejected
+            }
+            Word::Aborted | Word::Different => {
+                self.totals.in_doubt += u64::from(!idempotent);
+                self.turn(id, if idempotent { Stage::Closed } else { Stage::InDoubt });
+                End::Aborted
+            }
+        };
+        if told || !idempotent {
+            self.tell_later(now, id, Some(end));
+        } else {
+            self.news.remove(&id);
+        }
+        if end == End::Rejected && !told {
+            self.forget(id);
+        }
+    }
+
+    /// The same word to all who wait here and elsewhere.
+    fn word(&mut self, id: Id, word: &Word, out: &mut dyn Output) {
+        let Some(case) = self.cases.get_mut(&id) else { return };
+        for waiter in std::mem::take(&mut case.waiters) {
+            match waiter {
+                Waiter::Local(waiter) => out.answer(waiter, word),
+                Waiter::Remote { place, serial } => {
+                    let answered = Answered::Word(word.clone());
+                    out.tell(place, Message::Answer { serial, id, answered });
+                }
+            }
+        }
+    }
+
+    // ---- the members ----
+
+    pub fn member_up(&mut self, now: Nanos, place: u16, birth: u64) {
+        if place == self.place {
+            return;
+        }
+        if let Some(seat) = self.heard.get_mut(usize::from(place)) {
+            *seat = Some(birth);
+        }
+        self.suspected.remove(&place);
+        self.ledger.replaced(place);
+        // What it is told sooner does not count there.
+        let young = self.terms.longest + self.terms.remembered + self.terms.grant_lives;
+        self.to_teach.insert(place, (now + self.terms.grant_lives + TEACH_SLACK, now + young));
+    }
+
+    pub fn member_suspected(&mut self, place: u16, is: bool) {
+        if is {
+            self.suspected.insert(place);
+        } else {
+            self.suspected.remove(&place);
+        }
+    }
+
+    /// A process is gone. What it acted for has no keeper; the first witness that is heard claims it.
+    pub fn member_down(&mut self, now: Nanos, place: u16, birth: u64, out: &mut dyn Output) {
+        let Some(seat) = self.heard.get_mut(usize::from(place)).filter(|seat| **seat == Some(birth)) else {
+            return;
+        };
+        *seat = None;
+        self.suspected.remove(&place);
+        self.to_teach.remove(&place);
+        self.last_loss = Some(now);
+        let (mut orphans, mut first) = (0, 0);
+        for id in self.ledger.acted_for_by(place, birth) {
+            let Some(told) = self.ledger.get(now, id) else { continue };
+            let lately = self.ended.get(&id).is_some_and(|&at| now < at + STILL_AT_ENGINE);
+            let sent = told.grants.iter().any(|grant| !grant.void);
+            let is_orphan = match told.end {
+                None => true,
+                Some(End::Completed { rows_at, birth: by }) => {
+                    (rows_at, by) == (place, birth) && lately && sent
+                }
+                Some(_) => false,
+            };
+            let Some(facts) = told.facts.clone().filter(|_| is_orphan) else { continue };
+            if self.cases.get(&id).is_some_and(|case| case.acts() || case.stage == Stage::Claimed) {
+                continue;
+            }
+            let rank = self.rank(id);
+            orphans += 1;
+            first += u64::from(rank == 0);
+            let mut case = self.new_case(now, facts, Stage::Asking);
+            if let Some(before) = self.cases.get_mut(&id) {
+                case.waiters = std::mem::take(&mut before.waiters);
+                case.facts.text = std::mem::take(&mut before.facts.text);
+                if case.facts.text.is_empty() {
+                    case.facts.text = told.facts.map(|facts| facts.text).unwrap_or_default();
+                }
+            }
+            case.grants = told.grants;
+            case.epoch.count = told.epoch.count + 1;
+            self.insert(id, case);
+            self.turn(id, Stage::Orphaned);
+            self.totals.orphaned += 1;
+            self.wake_case(id, now + rank as u64 * self.terms.claim_step);
+        }
+        if orphans > 0 {
+            out.log(&format!(
+                "custody member {place} lost: {orphans} statements in hand, first witness of {first}"
+            ));
+        }
+        // Clients here that waited for its word ask anew.
+        let waiting = |case: &Case| case.stage == Stage::Elsewhere && case.at == place;
+        let again: Vec<Id> = self.cases.iter().filter(|(_, case)| waiting(case)).map(|(&id, _)| id).collect();
+        for id in again {
+            self.look_again(now, id, out);
+        }
+        self.run_due(now, out);
+    }
+
+    /// This one's rank among the witnesses that are heard.
+    fn rank(&self, id: Id) -> usize {
+        let heard = self.witnesses.of(id).into_iter().filter(|&w| self.is_there(w));
+        heard.take_while(|&w| w != self.place).count()
+    }
+
+    fn others(&self, id: Id) -> Vec<u16> {
+        self.witnesses.of(id).into_iter().filter(|&w| w != self.place).collect()
+    }
+
+    /// All that this gateway may know of votes that a member which began lately has forgotten. One that began lately
+    /// itself tells again as it learns more.
+    fn teach(&mut self, now: Nanos, out: &mut dyn Output) {
+        let due: Vec<u16> =
+            self.to_teach.iter().filter(|(_, (at, _))| *at <= now).map(|(&to, _)| to).collect();
+        if due.is_empty() {
+            return;
+        }
+        let memory = self.ledger.memory(now);
+        for to in due {
+            let mut told: Vec<Told> = self.ledger.all(now).collect();
+            let open = self.cases.iter().filter(|(_, case)| case.acts() && case.is_told);
+            told.extend(open.map(|(&id, case)| case.told(now, id, true)));
+            told.retain(|told| self.witnesses.of(told.id).contains(&to));
+            let mut parts = told.chunks(TOLD_AT_ONCE).map(<[Told]>::to_vec).collect::<Vec<_>>();
+            let rest = parts.pop().unwrap_or_default();
+            for told in parts {
+                out.tell(to, Message::Relearn { told, last: None });
+            }
+            out.tell(to, Message::Relearn { told: rest, last: Some(memory.clone()) });
+            let again =
+                self.to_teach.get_mut(&to).filter(|(_, until)| memory != Memory::Whole && now < *until);
+            match again {
+                Some((at, _)) => *at = now + TEACH_AGAIN,
+                None => drop(self.to_teach.remove(&to)),
+            }
+        }
+    }
+
+    // ---- messages ----
+
+    pub fn heard(&mut self, now: Nanos, from: u16, message: Message, out: &mut dyn Output) {
+        match message {
+            Message::Tell(all) => all.iter().for_each(|told| self.hear_told(now, told)),
+            Message::Grant { told, grant } => {
+                let id = told.id;
+                match self.ledger.grant(now, &told, grant, &self.witnesses) {
+                    Ok(()) => out.tell(from, Message::Granted { id, grant, against: None }),
+                    Err(Refusal::Stands(told)) => {
+                        out.tell(from, Message::Granted { id, grant, against: Some(*told) })
+                    }
+                    Err(_) => out.tell(from, Message::Abstain { id, epoch: grant.epoch }),
+                }
+            }
+            Message::Granted { id, grant, against } => {
+                let is_asked = |case: &&mut Case| case.pending.as_ref().is_some_and(|p| p.grant == grant);
+                if self.cases.get_mut(&id).filter(is_asked).is_some() {
+                    self.count_vote(id, from, against.map_or(Ok(()), |told| Err(Some(told))));
+                    self.after_vote(now, id, out);
+                }
+            }
+            Message::Claim { id, epoch } => match self.ledger.claim(now, id, epoch, &self.witnesses) {
+                Ok(told) => {
+                    self.superseded(now, id, epoch, out);
+                    out.tell(from, Message::Promise { id, epoch, promised: true, told });
+                }
+                Err(Refusal::Stands(told)) => {
+                    out.tell(from, Message::Promise { id, epoch, promised: false, told: Some(*told) })
+                }
+                Err(_) => out.tell(from, Message::Abstain { id, epoch }),
+            },
+            Message::Promise { id, epoch, promised, told } => {
+                self.hear_promise(now, id, epoch, from, promised, told, out)
+            }
+            Message::Abstain { id, epoch } => {
+                let Some(case) = self.cases.get(&id).filter(|case| case.epoch == epoch) else { return };
+                if case.pending.is_some() {
+                    self.count_vote(id, from, Err(None));
+                    self.after_vote(now, id, out);
+                }
+            }
+            Message::Ask { id, digest, serial } => {
+                if let Some(answered) = self.asked(now, from, id, digest, serial, out) {
+                    out.tell(from, Message::Answer { serial, id, answered });
+                }
+            }
+            Message::Answer { serial, id, answered } => self.hear_answer(now, id, serial, answered, out),
+            Message::HandOver(told) => self.take_from(now, told, out),
+            Message::Relearn { told, last } => {
+                told.iter().for_each(|told| self.hear_told(now, told));
+                if let Some(memory) = last {
+                    self.ledger.told_all(now, from, memory);
+                }
+            }
+        }
+    }
+
+    fn hear_told(&mut self, now: Nanos, told: &Told) {
+        self.ledger.tell(now, told);
+        if matches!(told.end, Some(End::Completed { .. })) {
+            self.ended.insert(told.id, now);
+        }
+    }
+
+    fn after_vote(&mut self, now: Nanos, id: Id, out: &mut dyn Output) {
+        let Some(number) = self.cases.get(&id).and_then(|c| Some(c.pending.as_ref()?.grant.number)) else {
+            return;
+        };
+        match self.judge_votes(now, id, out) {
+            Leave::Go => out.go(id, number),
+            Leave::Wait => {}
+            Leave::Denied(why) => out.denied(id, number, why),
+        }
+    }
+
+    /// Another has leave to act: what this one acts for goes on at its engine and its clients get its end, but it gets
+    /// no further grant; a claim of this one's own is over.
+    fn superseded(&mut self, now: Nanos, id: Id, epoch: Epoch, out: &mut dyn Output) {
+        let Some(case) = self.cases.get(&id) else { return };
+        if !matches!(case.stage, Stage::Claimed | Stage::Orphaned) || case.epoch >= epoch {
+            return;
+        }
+        if case.waiters.is_empty() {
+            self.turn(id, Stage::Closed);
+        } else {
+            self.wait_at(now, id, epoch.place, out);
+        }
+    }
+
+    // ---- claiming ----
+
+    fn claim(&mut self, now: Nanos, id: Id, count: u32, out: &mut dyn Output) {
+        let epoch = Epoch { count, place: self.place, birth: self.birth };
+        let Some(case) = self.cases.get_mut(&id) else { return };
+        case.epoch = epoch;
+        case.promises.clear();
+        case.tries += 1;
+        let wait = self.terms.claim_wait * u64::from(case.tries.min(4));
+        self.turn(id, Stage::Claimed);
+        self.wake_case(id, now + wait);
+        let all = self.witnesses.of(id);
+        for &to in all.iter().filter(|&&to| to != self.place) {
+            if self.is_there(to) {
+                out.tell(to, Message::Claim { id, epoch });
+            }
+        }
+        if all.contains(&self.place) {
+            match self.ledger.claim(now, id, epoch, &self.witnesses) {
+                Ok(told) => self.hear_promise(now, id, epoch, self.place, true, told, out),
+                Err(Refusal::Stands(told)) => {
+                    self.hear_promise(now, id, epoch, self.place, false, Some(*told), out)
+                }
+                Err(_) => {}
+            }
+        }
+    }
+
+    #[expect(clippy::too_many_arguments)]
+    fn hear_promise(
+        &mut self,
+        now: Nanos,
+        id: Id,
+        epoch: Epoch,
+        from: u16,
+        promised: bool,
+        told: Option<Told>,
+        out: &mut dyn Output,
+    ) {
+        let majority = self.witnesses.majority();
+        let asked = |case: &&mut Case| case.stage == Stage::Claimed && case.epoch == epoch;
+        let Some(case) = self.cases.get_mut(&id).filter(asked) else { return };
+        if !promised {
+            let Some(told) = told else { return };
+            match self.whereabouts(&told) {
+                Whereabouts::At(place) if place != self.place => {
+                    let waits = self.cases.get(&id).is_some_and(|case| !case.waiters.is_empty());
+                    if waits {
+                        self.wait_at(now, id, place, out);
+                    } else {
+                        self.turn(id, Stage::Closed);
+                    }
+                }
+                // A lower claim of one that is lost too: the next try goes over it.
+                _ => {
+                    if let Some(case) = self.cases.get_mut(&id) {
+                        case.epoch.count = case.epoch.count.max(told.epoch.count);
+                    }
+                }
+            }
+            return;
+        }
+        case.promises.insert(from, told);
+        if case.promises.len() < majority {
+            return;
+        }
+        self.totals.claimed += 1;
+        self.take(now, id, out);
+    }
+
+    /// A majority lets this one act: all grants that any majority gave are among what it told.
+    fn take(&mut self, now: Nanos, id: Id, out: &mut dyn Output) {
+        let Some(case) = self.cases.get_mut(&id) else { return };
+        let mut grants: BTreeMap<(Epoch, u32), Grant> = BTreeMap::new();
+        let (mut end, mut is_known) = (None, false);
+        let all = std::mem::take(&mut case.promises);
+        let own = std::mem::take(&mut case.grants);
+        for grant in all.values().flatten().flat_map(|told| &told.grants).chain(&own) {
+            let held = grants.entry((grant.epoch, grant.number)).or_insert(*grant);
+            held.void |= grant.void;
+        }
+        for told in all.into_values().flatten() {
+            end = match (end, told.end) {
+                (Some(End::Completed { .. }), _) | (_, None) => end,
+                (_, new) => new,
+            };
+            if let Some(facts) = told.facts {
+                is_known = true;
+                if case.facts.text.is_empty() {
+                    case.facts.text = facts.text;
+                }
+                if case.waiters.is_empty() {
+                    let left = u64::from(facts.left_ms) * MS;
+                    case.deadline = case.deadline.max(now + left.min(self.terms.longest));
+                }
+            }
+        }
+        case.grants = grants.into_values().collect();
+        let sent = case.grants.iter().rev().find(|grant| !grant.void).copied();
+        let (waits, idempotent) = (!case.waiters.is_empty(), case.facts.idempotent);
+        let left = case.deadline.saturating_sub(now);
+        let facts = case.facts.clone();
+        let lost_rows = match end {
+            Some(End::Completed { rows_at, birth }) => !self.is_heard(rows_at, birth),
+            _ => false,
+        };
+        match (end, sent) {
+            (Some(End::Completed { rows_at, .. }), _) if !lost_rows => {
+                if waits && rows_at != self.place {
+                    self.wait_at(now, id, rows_at, out);
+                } else {
+                    self.turn(id, Stage::Closed);
+                }
+            }
+            (Some(End::Aborted), _) if !idempotent => {
+                self.word(id, &Word::Aborted, out);
+                self.turn(id, Stage::InDoubt);
+            }
+            // Out at an engine, or over there a moment ago: asked for, never started.
+            (None | Some(End::Completed { .. }), Some(grant)) if left > 0 || waits => {
+                self.totals.watched += 1;
+                self.turn(id, Stage::Watched);
+                self.set_told(id);
+                out.adopt(id, &facts, left.max(SECOND), Some(grant.engine));
+            }
+            (Some(End::Completed { .. }), _) => {
+                self.word(id, &Word::Completed, out);
+                self.turn(id, Stage::Kept);
+            }
+            _ if left == 0 && !waits => self.turn(id, Stage::Closed),
+            // Never granted. What is harmless runs at once; else only once its client has come back: it may have been
+            // told that it was refused, and then comes under another id.
+            _ if idempotent || waits => {
+                self.turn(id, Stage::Held);
+                out.adopt(id, &facts, left, None);
+            }
+            _ => {
+                debug_assert!(is_known || !waits);
+                self.turn(id, Stage::Closed);
+            }
+        }
+    }
+
+    fn set_told(&mut self, id: Id) {
+        if let Some(case) = self.cases.get_mut(&id) {
+            case.is_told = true;
+        }
+    }
+
+    /// Another gateway ends and hands this over.
+    fn take_from(&mut self, now: Nanos, told: Told, out: &mut dyn Output) {
+        let id = told.id;
+        self.ledger.tell(now, &told);
+        let Some(facts) = told.facts.clone() else { return };
+        if self.cases.get(&id).is_some_and(|case| case.acts() || case.stage == Stage::Claimed) {
+            return;
+        }
+        let mut case = self.new_case(now, facts, Stage::Asking);
+        if let Some(before) = self.cases.get_mut(&id) {
+            case.waiters = std::mem::take(&mut before.waiters);
+        }
+        case.grants = told.grants;
+        self.insert(id, case);
+        self.turn(id, Stage::Orphaned);
+        self.totals.orphaned += 1;
+        self.claim(now, id, told.epoch.count + 1, out);
+    }
+
+    /// This gateway ends: what it acts for goes to the first other witness that is heard, with no gap in asking. Its
+    /// own clients wait for that one's word as long as this process lives. These were handed over.
+    pub fn hand_over(&mut self, now: Nanos, out: &mut dyn Output) -> Vec<Id> {
+        let acted = |(_, case): &(&Id, &Case)| case.acts() && !case.grants.iter().all(|grant| grant.void);
+        let open: Vec<Id> = self.cases.iter().filter(acted).map(|(&id, _)| id).collect();
+        let mut handed = Vec::new();
+        for id in open {
+            let Some(to) = self.others(id).into_iter().find(|&w| self.is_there(w)) else { continue };
+            let Some(case) = self.cases.get_mut(&id) else { continue };
+            if case.pending.is_some() {
+                continue;
+            }
+            let told = case.told(now, id, true);
+            if let Some(own) = case.own.take() {
+                case.waiters.push(Waiter::Local(own));
+            }
+            out.tell(to, Message::HandOver(told));
+            self.turn(id, Stage::Elsewhere);
+            if let Some(case) = self.cases.get_mut(&id) {
+                case.at = to;
+            }
+            // Asked for once the other has had the time to claim it.
+            self.wake_case(id, now + self.terms.ask_again / 2);
+            handed.push(id);
+        }
+        if !handed.is_empty() {
+            out.log(&format!("custody hands {} statements over", handed.len()));
+        }
+        handed
+    }
+
+    // ---- clients that come back ----
+
+    /// What a gateway is told whose client asks for the id; `None`: once it is known.
+    fn asked(
+        &mut self,
+        now: Nanos,
+        from: u16,
+        id: Id,
+        digest: u64,
+        serial: u64,
+        out: &mut dyn Output,
+    ) -> Option<Answered> {
+        if let Some(case) = self.cases.get_mut(&id).filter(|case| case.stage != Stage::Closed) {
+            if case.facts.digest != digest {
+                return Some(Answered::Word(Word::Different));
+            }
+            match case.stage {
+                Stage::Asking => return Some(Answered::Unknown),
+                Stage::Elsewhere => return Some(Answered::At(case.at)),
+                stage if stage < Stage::Elsewhere => {
+                    let waiter = Waiter::Remote { place: from, serial };
+                    if !case.waiters.contains(&waiter) {
+                        case.waiters.push(waiter);
+                    }
+                    if stage == Stage::Orphaned {
+                        self.wake_case(id, now);
+                        self.run_due(now, out);
+                    }
+                    return None;
+                }
+                stage => {
+                    let idempotent = case.facts.idempotent;
+                    let Some(word) = self.last_word(id, stage, idempotent) else {
+                        return Some(Answered::Unknown);
+                    };
+                    self.totals.delivered += 1;
+                    self.turn(id, Stage::Delivered);
+                    return Some(Answered::Word(word));
+                }
+            }
+        }
+        let told = self.ledger.get(now, id).filter(|told| told.facts.is_some() || told.end.is_some());
+        let Some(told) = told else { return Some(Answered::Unknown) };
+        if told.facts.as_ref().is_some_and(|facts| facts.digest != digest) {
+            return Some(Answered::Word(Word::Different));
+        }
+        match self.whereabouts(&told) {
+            Whereabouts::At(place) => Some(Answered::At(place)),
+            Whereabouts::Over(word) => Some(Answered::Word(word)),
+            Whereabouts::Nowhere => Some(Answered::Unknown),
+            Whereabouts::Orphan => {
+                let facts = told.facts.clone()?;
+                let mut case = self.new_case(now, facts, Stage::Asking);
+                case.waiters.push(Waiter::Remote { place: from, serial });
+                case.grants = told.grants;
+                self.insert(id, case);
+                self.turn(id, Stage::Orphaned);
+                self.totals.orphaned += 1;
+                self.claim(now, id, told.epoch.count + 1, out);
+                None
+            }
+        }
+    }
+
+    /// The end of what is over here; `None` where it can as well run anew.
+    fn last_word(&self, id: Id, stage: Stage, idempotent: bool) -> Option<Word> {
+        match (stage, self.kept.get(id)) {
+            (Stage::Kept | Stage::Delivered, Some(pages)) => Some(Word::Rows(pages.clone())),
+            (Stage::Kept | Stage::Delivered, None) if !idempotent => Some(Word::Completed),
+            (Stage::InDoubt, _) if !idempotent => Some(Word::Aborted),
+            _ => None,
+        }
+    }
+
+    /// Where a statement is, by what a witness has of it.
+    fn whereabouts(&self, told: &Told) -> Whereabouts {
+        match told.end {
+            Some(End::Completed { rows_at, birth }) => {
+                if rows_at != self.place && self.is_heard(rows_at, birth) {
+                    Whereabouts::At(rows_at)
+                } else {
+                    Whereabouts::Over(Word::Completed)
+                }
+            }
+            Some(End::Aborted) => Whereabouts::Over(Word::Aborted),
+            Some(End::Rejected) => Whereabouts::Nowhere,
+            None if told.epoch.place == self.place && told.epoch.birth == self.birth => Whereabouts::Nowhere,
+            None if self.is_heard(told.epoch.place, told.epoch.birth) => Whereabouts::At(told.epoch.place),
+            None => Whereabouts::Orphan,
+        }
+    }
+
+    /// Its clients here wait for the word of that gateway.
+    fn wait_at(&mut self, now: Nanos, id: Id, place: u16, out: &mut dyn Output) {
+        self.serial += 1;
+        let serial = self.serial;
+        let Some(case) = self.cases.get_mut(&id) else { return };
+        case.at = place;
+        case.serial = serial;
+        let digest = case.facts.digest;
+        self.turn(id, Stage::Elsewhere);
+        self.wake_case(id, now + self.terms.ask_again);
+        out.tell(place, Message::Ask { id, digest, serial });
+    }
+
+    /// The next witness is asked; none left: it goes on as a new statement.
+    fn ask_next(&mut self, now: Nanos, id: Id, out: &mut dyn Output) {
+        self.serial += 1;
+        let serial = self.serial;
+        let Some(case) = self.cases.get_mut(&id) else { return };
+        let Some(to) = case.to_ask.pop() else {
+            if case.waiters.is_empty() && case.own.is_none() {
+                return self.turn(id, Stage::Closed);
+            }
+            // Sent under a grant before, and nobody knows its end: asked for under a new epoch, never sent again.
+            if !case.facts.idempotent && case.grants.iter().any(|grant| !grant.void) {
+                let count = case.epoch.count + 1;
+                self.turn(id, Stage::Orphaned);
+                return self.claim(now, id, count, out);
+            }
+            if case.own.is_some() {
+                self.turn(id, Stage::Held);
+                out.proceed(id);
+            } else {
+                let (facts, left) = (case.facts.clone(), case.deadline.saturating_sub(now));
+                self.turn(id, Stage::Held);
+                out.adopt(id, &facts, left, None);
+            }
+            return;
+        };
+        (case.at, case.serial) = (to, serial);
+        let digest = case.facts.digest;
+        self.wake_case(id, now + self.terms.ask_wait);
+        out.tell(to, Message::Ask { id, digest, serial });
+    }
+
+    /// The gateway that clients here waited for knows nothing or is lost: the witnesses are asked anew.
+    fn look_again(&mut self, now: Nanos, id: Id, out: &mut dyn Output) {
+        let mut heard: Vec<u16> = self.others(id).into_iter().filter(|&w| self.is_there(w)).collect();
+        heard.reverse();
+        let mine = self.ledger.get(now, id).filter(|told| told.facts.is_some());
+        let Some(case) = self.cases.get_mut(&id) else { return };
+        case.tries += 1;
+        if case.waiters.is_empty() || case.tries > MOST_CLAIMS {
+            return self.turn(id, Stage::Closed);
+        }
+        case.to_ask = heard;
+        if let Some(told) = mine
+            && let Whereabouts::Orphan = self.whereabouts(&told)
+        {
+            self.turn(id, Stage::Orphaned);
+            return self.claim(now, id, told.epoch.count + 1, out);
+        }
+        self.turn(id, Stage::Asking);
+        self.ask_next(now, id, out);
+    }
+
+    fn hear_answer(&mut self, now: Nanos, id: Id, serial: u64, answered: Answered, out: &mut dyn Output) {
+        let there = matches!(answered, Answered::At(place) if self.is_there(place));
+        let Some(case) = self.cases.get_mut(&id).filter(|case| case.serial == serial) else { return };
+        let (stage, idempotent) = (case.stage, case.facts.idempotent);
+        if !matches!(stage, Stage::Asking | Stage::Elsewhere) {
+            return;
+        }
+        match answered {
+            Answered::Unknown if stage == Stage::Asking => self.ask_next(now, id, out),
+            Answered::Unknown => self.look_again(now, id, out),
+            Answered::At(place) if place != self.place && there => {
+                if let Some(own) = case.own.take() {
+                    case.waiters.push(Waiter::Local(own));
+                }
+                self.wait_at(now, id, place, out);
+            }
+            Answered::At(_) => self.wake_case(id, now + self.terms.ask_wait),
+            // What is harmless runs anew rather than being told that its rows are gone.
+            Answered::Word(Word::Completed | Word::Aborted) if idempotent => {
+                if let Some(case) = self.cases.get_mut(&id) {
+                    case.to_ask.clear();
+                }
+                self.turn(id, Stage::Asking);
+                self.ask_next(now, id, out);
+            }
+            Answered::Word(word) => {
+                if let Some(own) = case.own.take() {
+                    case.waiters.push(Waiter::Local(own));
+                }
+                self.word(id, &word, out);
+                self.turn(id, Stage::Closed);
+            }
+        }
+    }
+
+    // ---- time ----
+
+    pub fn next_wake(&self) -> Nanos {
+        let case = self.wakes.first().map_or(Nanos::MAX, |&(at, _)| at);
+        let teach = self.to_teach.values().map(|(at, _)| *at).min().unwrap_or(Nanos::MAX);
+        case.min(self.next_tell).min(self.ledger.next_forget()).min(teach)
+    }
+
+    pub fn woken(&mut self, now: Nanos, out: &mut dyn Output) {
+        self.run_due(now, out);
+        if now >= self.next_tell {
+            self.tell_now(now, out);
+        }
+        self.teach(now, out);
+        self.tidy(now);
+    }
+
+    fn run_due(&mut self, now: Nanos, out: &mut dyn Output) {
+        while let Some(&(at, id)) = self.wakes.first().filter(|(at, _)| *at <= now) {
+            self.wakes.remove(&(at, id));
+            let Some(case) = self.cases.get_mut(&id) else { continue };
+            case.wake = 0;
+            if case.pending.is_some() {
+                self.after_vote(now, id, out);
+                continue;
+            }
+            match case.stage {
+                Stage::Asking => self.ask_next(now, id, out),
+                Stage::Orphaned => {
+                    let count = case.epoch.count;
+                    let epoch = self.ledger.get(now, id).map_or(0, |told| told.epoch.count + 1);
+                    self.claim(now, id, count.max(epoch), out);
+                }
+                Stage::Claimed => {
+                    let waits = !case.waiters.is_empty();
+                    if case.tries >= MOST_CLAIMS || now >= case.deadline && !waits {
+                        let word = if case.facts.idempotent {
+                            Word::Rejected { come_back_ms: 0 }
+                        } else {
+                            Word::Aborted
+                        };
+                        self.word(id, &word, out);
+                        self.turn(id, Stage::Closed);
+                    } else {
+                        let count = case.epoch.count + 1;
+                        self.claim(now, id, count, out);
+                    }
+                }
+                Stage::Elsewhere => {
+                    let (at, waits) = (case.at, !case.waiters.is_empty());
+                    if !waits {
+                        self.turn(id, Stage::Closed);
+                    } else if self.is_there(at) {
+                        self.wait_at(now, id, at, out);
+                    } else {
+                        self.look_again(now, id, out);
+                    }
+                }
+                Stage::Held | Stage::Witnessed | Stage::Watched => {}
+                Stage::Kept | Stage::Delivered | Stage::Closed | Stage::InDoubt => {
+                    if now >= case.until {
+                        self.forget(id);
+                    }
+                }
+            }
+        }
+    }
+
+    fn tidy(&mut self, now: Nanos) {
+        self.ledger.tidy(now);
+        while self.ended.len() > self.ledger.len() {
+            self.ended.pop_first();
+        }
+    }
+
+    /// Witnesses hear of it with the next batch.
+    fn tell_later(&mut self, now: Nanos, id: Id, end: Option<End>) {
+        let held = self.news.entry(id).or_default();
+        *held = end.or(*held);
+        if self.next_tell == Nanos::MAX {
+            self.next_tell = now + self.terms.tell_every;
+        }
+    }
+
+    /// One message a witness for all that is new.
+    fn tell_now(&mut self, now: Nanos, out: &mut dyn Output) {
+        self.next_tell = Nanos::MAX;
+        let mut batches: BTreeMap<u16, Vec<Told>> = BTreeMap::new();
+        for (id, end) in std::mem::take(&mut self.news) {
+            let Some(case) = self.cases.get_mut(&id) else { continue };
+            let first = !case.is_told;
+            if first && (end.is_some() || !case.is_open()) {
+                continue;
+            }
+            let mut told = case.told(now, id, first && end.is_none());
+            told.end = end;
+            if end.is_some() && !case.facts.idempotent {
+                told.facts = None;
+            }
+            let all = self.witnesses.of(id);
+            let count = if case.facts.idempotent { self.terms.told } else { all.len() };
+            case.is_told = true;
+            for &to in all.iter().take(count) {
+                if to == self.place {
+                    self.hear_told(now, &told);
+                } else if self.is_there(to) {
+                    batches.entry(to).or_default().push(told.clone());
+                }
+            }
+        }
+        for (to, told) in batches {
+            for part in told.chunks(TOLD_AT_ONCE) {
+                out.tell(to, Message::Tell(part.to_vec()));
+            }
+        }
+    }
+
+    // ---- the table ----
+
+    fn new_case(&self, now: Nanos, facts: Facts, stage: Stage) -> Case {
+        let deadline = now + (u64::from(facts.left_ms) * MS).min(self.terms.longest);
+        Case {
+            stage,
+            epoch: Epoch { count: 0, place: self.place, birth: self.birth },
+            facts,
+            deadline,
+            grants: Vec::new(),
+            pending: None,
+            promises: BTreeMap::new(),
+            own: None,
+            waiters: Vec::new(),
+            to_ask: Vec::new(),
+            at: self.place,
+            serial: 0,
+            is_told: false,
+            tries: 0,
+            wake: 0,
+            until: deadline + self.terms.remembered,
+        }
+    }
+
+    fn insert(&mut self, id: Id, case: Case) {
+        if let Some(before) = self.cases.insert(id, case) {
+            self.wakes.remove(&(before.wake, id));
+            self.kept.drop_one(id);
+        }
+    }
+
+    fn forget(&mut self, id: Id) {
+        if let Some(case) = self.cases.remove(&id) {
+            self.wakes.remove(&(case.wake, id));
+            self.kept.drop_one(id);
+        }
+    }
+
+    fn wake_case(&mut self, id: Id, at: Nanos) {
+        let Some(case) = self.cases.get_mut(&id) else { return };
+        self.wakes.remove(&(case.wake, id));
+        case.wake = at;
+        self.wakes.insert((at, id));
+    }
+
+    /// The one function that changes a statement's stage.
+    fn turn(&mut self, id: Id, to: Stage) {
+        use Stage::*;
+        let Some(case) = self.cases.get_mut(&id) else { return };
+        let may = match (case.stage, to) {
+            (from, to) if from == to => true,
+            (Asking, Held | Elsewhere | Orphaned | Closed) => true,
+            (Held, Witnessed | Elsewhere | Orphaned | Kept | Delivered | Closed | InDoubt) => true,
+            (Witnessed | Watched, Elsewhere | Orphaned | Kept | Delivered | Closed | InDoubt) => true,
+            (Orphaned, Claimed | Elsewhere | Closed) => true,
+            (Claimed, Held | Watched | Elsewhere | Kept | Closed | InDoubt) => true,
+            (Elsewhere, Asking | Orphaned | Closed) => true,
+            (Kept | InDoubt, Delivered) => true,
+            _ => false,
+        };
+        debug_assert!(may, "{:?} -> {to:?}", case.stage);
+        if !may {
+            return;
+        }
+        case.stage = to;
+        if !case.is_open() {
+            case.pending = None;
+            case.facts.text = Vec::new();
+            let until = case.until;
+            self.wake_case(id, until);
+        }
+    }
+}
+
+enum Whereabouts {
+    /// That gateway acts for it or has its end.
+    At(u16),
+    /// It is over and nobody that is heard has more of it.
+    Over(Word),
+    /// Who acted for it is not heard any more.
+    Orphan,
+    Nowhere,
+}
+
+fn stands(refusal: &Refusal) -> Option<Told> {
+    match refusal {
+        Refusal::Stands(told) => Some((**told).clone()),
+        Refusal::Abstains | Refusal::Full => None,
+    }
+}
--- a/crates/ivypitch-gateway/src/actors/engine.rs
+++ b/crates/ivypitch-gateway/src/actors/engine.rs
@@ -1,19 +1,25 @@
 //! One engine: its address and the calls to it. Executions run as tasks of their own on these. A connection serves
-//! one execution and then goes: what an engine sends late on it can't be taken for another statement's answer.
+//! one execution at a time; `ivypitch_lines` decides which are kept for the next. A kept one is asked first for the
+//! query that is about to start there: only the answer that the engine does not know it proves the line alive and
+//! clean. An end that then comes at once has to come twice: what an engine sends late can't be taken for another
+//! statement's answer.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
-use async_channel::Receiver;
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use bytes::BytesMut;
 use futures_lite::{AsyncWriteExt, FutureExt};
+use ivypitch_lines::{Lines, Terms};
 
 use super::session::read_some;
+use crate::life::clock::Clock;
+use crate::memory::opened::{Opened, Why};
 use crate::memory::permits::{Permit, Permits};
 use crate::wire::http::{self, Answer};
 
@@ -33,6 +39,10 @@
 pub struct Connection {
     stream: Async<TcpStream>,
     input: BytesMut,
+    /// It has served another statement before.
+    pub is_used: bool,
+    /// A 1xx answer came on it, which nobody asked for.
+    informed: bool,
     _permit: Permit,
 }
 
@@ -52,19 +62,90 @@
     address: Cell<SocketAddr>,
     connect_timeout: Duration,
     permits: Rc<Permits>,
+    opened: Rc<Opened>,
+    lines: RefCell<Lines<Connection>>,
+    clock: Clock,
+    /// Told as a line is kept, for the actor to close it in time.
+    kept: (Sender<()>, Receiver<()>),
 }
 
 impl Link {
-    pub fn new(address: SocketAddr, connect_timeout: Duration, permits: Rc<Permits>) -> Rc<Link> {
-        Rc::new(Link { address: Cell::new(address), connect_timeout, permits })
+    pub fn new(
+        address: SocketAddr,
+        connect_timeout: Duration,
+        lines: Terms,
+        clock: Clock,
+        permits: Rc<Permits>,
+        opened: Rc<Opened>,
+    ) -> Rc<Link> {
+        Rc::new(Link {
+            address: Cell::new(address),
+            connect_timeout,
+            permits,
+            opened,
+            lines: RefCell::new(Lines::new(lines)),
+            clock,
+            kept: async_channel::bounded(1),
+        })
     }
 
     pub fn host(&self) -> String {
         self.address.get().to_string()
     }
 
-    pub async fn connect(&self) -> Result<Connection, CallFault> {
+    /// A line for the start of this query: a kept one that is alive and clean, else a new one.
+    pub async fn line(&self, id: &[u8]) -> Result<Connection, CallFault> {
+        while let Some(mut kept) = self.take_kept() {
+            let call = http::write_get(id, 0, &self.host());
+            let asked = async {
+                kept.write(&call).await.ok()?;
+                kept.answer(AT_ONCE).await.ok()
+            };
+            let unknown = |answer: &Answer| answer.status == 500 && !answer.never_ran && !answer.closes;
+            if asked.await.is_some_and(|answer| unknown(&answer)) && kept.rest() == Rest::Quiet {
+                self.opened.count(Why::Reused);
+                return Ok(kept);
+            }
+            self.opened.count(Why::Spoilt);
+            drop(self.lines.borrow_mut().surprise());
+        }
+        self.connect(Why::Start).await
+    }
+
+    fn take_kept(&self) -> Option<Connection> {
+        let now = self.clock.now();
+        let mut lines = self.lines.borrow_mut();
+        loop {
+            // One that the engine has closed as idle is no surprise.
+            let kept = lines.take(now)?;
+            match kept.rest() {
+                Rest::Quiet => return Some(kept),
+                Rest::Closed => {}
+                Rest::More => drop(lines.surprise()),
+            }
+        }
+    }
+
+    /// The line of a statement that is over: kept, or closed.
+    pub fn give(&self, line: &mut Option<Connection>) {
+        let Some(mut line) = line.take().filter(|line| line.rest() == Rest::Quiet) else { return };
+        line.is_used = true;
+        // Others need the place more than a statement that may come.
+        if self.permits.are_short() {
+            return;
+        }
+        let refused = self.lines.borrow_mut().give(self.clock.now(), line);
+        if refused.is_none() {
+            let _ = self.kept.0.try_send(());
+        }
+    }
+
+    pub async fn connect(&self, why: Why) -> Result<Connection, CallFault> {
+        if self.permits.are_short() {
+            drop(self.lines.borrow_mut().take_all());
+        }
         let permit = self.permits.take().await;
+        self.opened.count(why);
         let connected = async { Async::<TcpStream>::connect(self.address.get()).await };
         let late = async {
             Timer::after(self.connect_timeout).await;
@@ -73,10 +154,24 @@
         match connected.or(late).await {
             Ok(stream) => {
                 let _ = stream.get_ref().set_nodelay(true);
-                Ok(Connection { stream, input: BytesMut::new(), _permit: permit })
+                Ok(Connection {
+                    stream,
+                    input: BytesMut::new(),
+                    is_used: false,
+                    informed: false,
+                    _permit: permit,
+                })
+            }
+            Err(e) if e.kind() == ErrorKind::ConnectionRefused => {
+                drop(self.lines.borrow_mut().take_all());
+                self.opened.count(Why::Refused);
+                Err(CallFault::Refused)
+            }
+            Err(_) => {
+                drop(self.lines.borrow_mut().take_all());
+                self.opened.count(Why::Unsent);
+                Err(CallFault::Unsent)
             }
-            Err(e) if e.kind() == ErrorKind::ConnectionRefused => Err(CallFault::Refused),
-            Err(_) => Err(CallFault::Unsent),
         }
     }
 
@@ -87,21 +182,58 @@
         line: &mut Option<Connection>,
         request: &[u8],
         limit: Duration,
+        why: Why,
     ) -> Result<Answer, CallFault> {
         let mut connection = match line.take().filter(|kept| kept.rest() == Rest::Quiet) {
             Some(kept) => kept,
-            None => self.connect().await?,
+            // A give-up lost on a kept line is repeated on a new one.
+            None => match self.take_kept().filter(|_| matches!(why, Why::GiveUp)) {
+                Some(kept) => kept,
+                None => self.connect(why).await?,
+            },
         };
         connection.write(request).await?;
-        let answer = connection.answer(limit.min(LONGEST)).await?;
+        let answer = match connection.answer(limit.min(LONGEST)).await {
+            Ok(answer) => answer,
+            Err(fault) => {
+                drop(self.lines.borrow_mut().surprise());
+                return Err(fault);
+            }
+        };
         match connection.rest() {
-            Rest::Quiet if !answer.closes => *line = Some(connection),
-            // What follows may be the rest of a result whose length is wrong.
-            Rest::More if answer.status == 200 => return Err(CallFault::NoAnswer),
+            Rest::Quiet if !answer.closes => {
+                if connection.informed {
+                    drop(self.lines.borrow_mut().surprise());
+                } else {
+                    self.lines.borrow_mut().exact();
+                    *line = Some(connection);
+                }
+            }
+            Rest::More => {
+                drop(self.lines.borrow_mut().surprise());
+                // What follows may be the rest of a result whose length is wrong.
+                if answer.status == 200 {
+                    return Err(CallFault::NoAnswer);
+                }
+            }
             _ => {}
         }
         Ok(answer)
     }
+
+    /// Closes kept lines as their time is over; returns when the engine's mailbox has something.
+    async fn tend(&self) {
+        loop {
+            let over = self.lines.borrow().next_over();
+            match over {
+                None => drop(self.kept.1.recv().await),
+                Some(at) => {
+                    Timer::at(self.clock.instant(at)).await;
+                    drop(self.lines.borrow_mut().over(self.clock.now()));
+                }
+            }
+        }
+    }
 }
 
 /// What is on a connection behind the last answer.
@@ -142,6 +274,7 @@
                 Ok(Some(answer)) if answer.status >= 200 => return Ok(answer),
                 Ok(Some(_)) if information < MOST_INFORMATION => {
                     information += 1;
+                    self.informed = true;
                     continue;
                 }
                 Ok(None) => {}
@@ -157,10 +290,17 @@
 
 /// Ends as the list says that the engine is gone; executions that are out keep its link until their end.
 pub async fn run(link: Rc<Link>, mailbox: Receiver<EngineMail>, executor: Rc<LocalExecutor<'static>>) {
-    while let Ok(mail) = mailbox.recv().await {
-        match mail {
-            EngineMail::Start(execution) => executor.spawn(execution.run(link.clone())).detach(),
-            EngineMail::Address(address) => link.address.set(address),
+    let letters = async {
+        while let Ok(mail) = mailbox.recv().await {
+            match mail {
+                EngineMail::Start(execution) => executor.spawn(execution.run(link.clone())).detach(),
+                EngineMail::Address(address) => {
+                    drop(link.lines.borrow_mut().take_all());
+                    link.address.set(address);
+                }
+            }
         }
-    }
+    };
+    letters.or(link.tend()).await;
+    drop(link.lines.borrow_mut().close());
 }
--- a/crates/ivypitch-gateway/src/actors/execution.rs
+++ b/crates/ivypitch-gateway/src/actors/execution.rs
@@ -11,6 +11,7 @@
 
 use super::engine::{AT_ONCE, CallFault, Connection, Link, NEWS};
 use super::{End, ExecutionKey, ExecutionMail, ModuleMail};
+use crate::memory::opened::Why;
 use crate::memory::rows::Rows;
 use crate::wire::http::{self, Answer, Start};
 
@@ -46,10 +47,29 @@
 
     async fn to_its_end(&self, link: &Link) -> End {
         let mut line = None;
-        let mut answer = match self.start(link, &mut line).await {
+        let end = self.on_line(link, &mut line).await;
+        // What is over has no answer to come on its line.
+        if matches!(end.outcome, Outcome::Completed | Outcome::Full | Outcome::Moot | Outcome::Error) {
+            link.give(&mut line);
+        }
+        end
+    }
+
+    async fn on_line(&self, link: &Link, line: &mut Option<Connection>) -> End {
+        let mut answer = match self.start(link, line).await {
             Ok(answer) => answer,
             Err(end) => return end,
         };
+        if line.as_ref().is_some_and(|line| line.is_used)
+            && let Some(end) = answer.as_ref().filter(|end| end.status != 202)
+        {
+            // On a line that served another statement before, an end counts once it has come twice.
+            match self.ask(link, line, 0, AT_ONCE).await {
+                Step::Answered(again) if is_same_end(end, &again) => {}
+                Step::Mail(ExecutionMail::GiveUp) => return self.give_up(link).await,
+                _ => (answer, *line) = (None, None),
+            }
+        }
         let mut faults = 0;
         loop {
             match &answer {
@@ -57,13 +77,13 @@
                 Some(end) if matches!(end.status, 500 | 503 | 504) => return self.ended(end, None),
                 Some(end) => {
                     if let Some(rows) = first_page(end) {
-                        return match self.pages(link, &mut line, rows, end.page_count.unwrap_or(1)).await {
+                        return match self.pages(link, line, rows, end.page_count.unwrap_or(1)).await {
                             Ok(rows) => self.ended(end, Some(rows)),
                             Err(end) => end,
                         };
                     }
                     // No answer to a start or to this question: asked for again, as one that did not come whole.
-                    line = None;
+                    *line = None;
                 }
                 None => {}
             }
@@ -73,9 +93,9 @@
             }
             if let Some(priority) = self.priority.take() {
                 let call = http::write_priority(&self.start.id, priority, &link.host());
-                let _ = link.call(&mut None, &call, AT_ONCE).await;
+                let _ = link.call(&mut None, &call, AT_ONCE, Why::Priority).await;
             }
-            answer = match self.ask(link, &mut line, 0, NEWS * (1 + faults)).await {
+            answer = match self.ask(link, line, 0, NEWS * (1 + faults)).await {
                 Step::Answered(answer) => Some(answer),
                 Step::Fault(CallFault::Refused) => return bare(Outcome::Reset),
                 Step::Fault(_) => None,
@@ -102,7 +122,7 @@
     /// The start, up to its answer; `None` where none came whole: it may run all the same and is asked for.
     /// Given up meanwhile, its answer is still awaited for a while.
     async fn start(&self, link: &Link, line: &mut Option<Connection>) -> Result<Option<Answer>, End> {
-        let connect = async { link.connect().await.map_err(|_| bare(Outcome::ConnectFailed)) };
+        let connect = async { link.line(&self.start.id).await.map_err(|_| bare(Outcome::ConnectFailed)) };
         let given_up = async {
             self.given_up().await;
             Err(bare(Outcome::Cancelled))
@@ -110,7 +130,7 @@
         *line = Some(connect.or(given_up).await?);
         let call = http::write_start(&self.start, &link.host());
         let wanted = Cell::new(true);
-        let answered = async { Some(link.call(line, &call, NEWS).await) };
+        let answered = async { Some(link.call(line, &call, NEWS, Why::Start).await) };
         let given_up = async {
             self.given_up().await;
             wanted.set(false);
@@ -130,7 +150,7 @@
     async fn ask(&self, link: &Link, line: &mut Option<Connection>, page: usize, limit: Duration) -> Step {
         let call = http::write_get(&self.start.id, page, &link.host());
         let asked = async {
-            match link.call(line, &call, limit).await {
+            match link.call(line, &call, limit, Why::Again).await {
                 Ok(answer) => Step::Answered(answer),
                 Err(fault) => Step::Fault(fault),
             }
@@ -205,7 +225,7 @@
         let call = http::write_delete(&self.start.id, &link.host());
         let told = async {
             loop {
-                match link.call(&mut None, &call, AT_ONCE).await {
+                match link.call(&mut None, &call, AT_ONCE, Why::GiveUp).await {
                     Ok(Answer { status: 204 | 500, .. }) | Err(CallFault::Refused) => return,
                     Ok(_) | Err(_) => Timer::after(BREATHER).await,
                 };
@@ -219,6 +239,14 @@
     }
 }
 
+/// The engine says the same end again. What never ran there, or went wrong, it does not know when asked.
+fn is_same_end(end: &Answer, again: &Answer) -> bool {
+    match end.status {
+        200 => again.status == 200 && end.page_count == again.page_count && end.body == again.body,
+        _ => again.status == end.status || again.status == 500,
+    }
+}
+
 /// The first page of a good end, if it is one.
 fn first_page(end: &Answer) -> Option<Rows> {
     let mut rows = Rows::default();
--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -22,6 +22,7 @@
 use super::{Answer, End, ExecutionKey, ExecutionMail, ModuleMail, Shown};
 use crate::life::clock::Clock;
 use crate::memory::engines::{EngineIds, id_as_number};
+use crate::memory::opened::Opened;
 use crate::memory::permits::Permits;
 use crate::memory::statements::{Out, Statements};
 use crate::wire::fields::Fields;
@@ -97,6 +98,7 @@
     over: Vec<(StmtIx, Option<Nanos>, Option<Nanos>)>,
     has_queues: bool,
     permits: Rc<Permits>,
+    opened: Rc<Opened>,
     module: Sender<ModuleMail>,
     executor: Rc<LocalExecutor<'static>>,
 }
@@ -121,6 +123,7 @@
         seed: u64,
         clock: Clock,
         permits: Rc<Permits>,
+        opened: Rc<Opened>,
         module: Sender<ModuleMail>,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Module {
@@ -148,6 +151,7 @@
                 over: Vec::new(),
                 has_queues,
                 permits,
+                opened,
                 module,
                 executor,
             },
@@ -510,7 +514,9 @@
         log::info!("engine {} is {id} at {address}", ix.0);
         let stated = |limit: Nanos, or: Duration| if limit > 0 { Duration::from_nanos(limit) } else { or };
         let connect_timeout = stated(self.limits.connect_timeout, CONNECT_TIMEOUT);
-        let link = Link::new(address, connect_timeout, self.permits.clone());
+        let lines = ivypitch_lines::Terms::new(self.gateways as usize, self.limits.idle_close);
+        let link =
+            Link::new(address, connect_timeout, lines, self.clock, self.permits.clone(), self.opened.clone());
         let (mailbox, letters) = async_channel::unbounded();
         self.executor.spawn(engine::run(link, letters, self.executor.clone())).detach();
         self.mailboxes[ix.0] = Some(EngineActor { address, mailbox });
--- a/crates/ivypitch-gateway/src/life/program.rs
+++ b/crates/ivypitch-gateway/src/life/program.rs
@@ -23,6 +23,7 @@
 use super::own::OwnFile;
 use crate::actors::list::List;
 use crate::actors::{ModuleMail, module, session};
+use crate::memory::opened::Opened;
 use crate::memory::permits::Permits;
 
 /// After SIGTERM new connections go on coming for 0.4 s and requests on open ones for 0.2 s more.
@@ -64,6 +65,7 @@
     clock: Clock,
     executor: Rc<LocalExecutor<'static>>,
     sessions: Rc<session::Sessions>,
+    opened: Rc<Opened>,
     listener: Rc<Async<TcpListener>>,
     module: Sender<ModuleMail>,
     list: Sender<SocketAddr>,
@@ -114,8 +116,17 @@
         sessions.show(show && has_queues);
         let follower = List { last: known.pos, longest_line: bounds.journal_line, module: module.clone() };
         let permits = Permits::new(bounds.engines);
-        let actor =
-            module::Module::new(given, budgets, seed, clock, permits, module.clone(), executor.clone());
+        let opened = Rc::new(Opened::default());
+        let actor = module::Module::new(
+            given,
+            budgets,
+            seed,
+            clock,
+            permits,
+            opened.clone(),
+            module.clone(),
+            executor.clone(),
+        );
         executor.spawn(actor.run(mailbox, known)).detach();
         let (list, addresses) = async_channel::unbounded();
         executor.spawn(follower.run(journal, addresses)).detach();
@@ -124,6 +135,7 @@
             clock,
             executor,
             sessions,
+            opened,
             listener: Rc::new(listener),
             module,
             list,
@@ -173,6 +185,7 @@
             }))
             .await;
             self.enter(Phase::Stopped);
+            log::info!("connections to engines opened: {}", self.opened);
             Ok(())
         }))
     }
--- a/crates/ivypitch-gateway/src/memory/permits.rs
+++ b/crates/ivypitch-gateway/src/memory/permits.rs
@@ -7,6 +7,7 @@
 
 /// A permit goes back as its connection is dropped.
 pub struct Permits {
+    count: usize,
     free: Cell<usize>,
     freed: (Sender<()>, Receiver<()>),
 }
@@ -15,7 +16,12 @@
 
 impl Permits {
     pub fn new(count: usize) -> Rc<Permits> {
-        Rc::new(Permits { free: Cell::new(count), freed: async_channel::bounded(1) })
+        Rc::new(Permits { count, free: Cell::new(count), freed: async_channel::bounded(1) })
+    }
+
+    /// Half of them are out: none is left for what only may be of use.
+    pub fn are_short(&self) -> bool {
+        2 * self.free.get() < self.count
     }
 
     pub async fn take(self: &Rc<Self>) -> Permit {
--- a/crates/ivypitch-lab/src/lib.rs
+++ b/crates/ivypitch-lab/src/lib.rs
@@ -2,9 +2,11 @@
 //! virtual time; open-loop traffic by seed; experiments with bounds; reports. Its constants are its own.
 
 pub mod command;
+pub mod custody_fleet;
 pub mod demo;
 pub mod engine;
 pub mod experiments;
+pub mod faults;
 pub mod figures;
 pub mod fleet;
 pub mod report;
--- /dev/null
+++ b/crates/ivypitch-members/src/lib.rs
@@ -0,0 +1,18 @@
+//! Who of the fleet is heard, who is suspected, who is lost, and whether this gateway is the one cut off. SWIM by the
+//! library `foca` finds that out; what it tells is turned into the words that decisions need. No I/O, no clock: the
+//! caller brings datagrams and the time and carries away what is to be sent. `docs/custody.md` has the promises.
+
+mod doubt;
+mod members;
+mod roster;
+mod terms;
+
+pub use doubt::{Doubt, Hearing};
+pub use members::{Life, Members, News, State};
+pub use roster::{Roster, Seat, Who};
+pub use terms::Terms;
+
+/// A time or a span, in nanoseconds of one clock that only advances.
+pub type Nanos = u64;
+pub const SECOND: Nanos = 1_000_000_000;
+pub const MS: Nanos = 1_000_000;
