Members measured in virtual time; a witness that names a lost gateway is asked again

Need: figures for how soon a loss is known, and clients that came back in the moment of a loss ran lookups and reports again: their witness still named the lost gateway, and the question was not repeated (Custody::hear_answer).

--- a/crates/ivypitch-custody/src/custody.rs
+++ b/crates/ivypitch-custody/src/custody.rs
@@ -1158,7 +1158,14 @@
                 }
                 self.wait_at(now, id, place, out);
             }
-            Answered::At(_) => self.wake_case(id, now + self.terms.ask_wait),
+            // That one is lost and the witness does not know yet: it is asked again, after the others.
+            Answered::At(_) => {
+                if stage == Stage::Asking && case.tries < MOST_CLAIMS {
+                    case.tries += 1;
+                    case.to_ask.insert(0, case.at);
+                }
+                self.wake_case(id, now + self.terms.ask_wait);
+            }
             // What is harmless runs anew rather than being told that its rows are gone.
             Answered::Word(Word::Completed | Word::Aborted) if idempotent => {
                 if let Some(case) = self.cases.get_mut(&id) {
--- a/crates/ivypitch-deployment/src/own_peers.rs
+++ b/crates/ivypitch-deployment/src/own_peers.rs
@@ -180,7 +180,7 @@
                 roster.seats.push(Seat { name: own, zone: zone as u16, address });
             }
         }
-        if self.custody.witnesses % 2 == 0 {
+        if self.custody.witnesses.is_multiple_of(2) {
             faults.push(Fault::new("peers.custody.witnesses", "is to be odd, or a half is no majority"));
         }
         let place = roster.place_of(name);
--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -116,6 +116,14 @@
     executor: Rc<LocalExecutor<'static>>,
 }
 
+/// What stands beside the module: the first two only where the own file sets them up.
+pub struct Parts {
+    pub budgets: Option<Budgets>,
+    pub keeper: Option<Keeper>,
+    pub permits: Rc<Permits>,
+    pub opened: Rc<Opened>,
+}
+
 struct EngineActor {
     address: SocketAddr,
     mailbox: Sender<EngineMail>,
@@ -132,15 +140,13 @@
 impl Module {
     pub fn new(
         given: Given,
-        budgets: Option<Budgets>,
-        keeper: Option<Keeper>,
+        parts: Parts,
         seed: u64,
         clock: Clock,
-        permits: Rc<Permits>,
-        opened: Rc<Opened>,
         module: Sender<ModuleMail>,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Module {
+        let Parts { budgets, keeper, permits, opened } = parts;
         let now = clock.now();
         let has_queues = budgets.is_some();
         let customers = given.names.customers.clone();
--- a/crates/ivypitch-gateway/src/life/program.rs
+++ b/crates/ivypitch-gateway/src/life/program.rs
@@ -143,17 +143,8 @@
             }
         }
         let opened = Rc::new(Opened::default());
-        let actor = module::Module::new(
-            given,
-            budgets,
-            keeper,
-            seed,
-            clock,
-            permits,
-            opened.clone(),
-            module.clone(),
-            executor.clone(),
-        );
+        let parts = module::Parts { budgets, keeper, permits, opened: opened.clone() };
+        let actor = module::Module::new(given, parts, seed, clock, module.clone(), executor.clone());
         executor.spawn(actor.run(mailbox, known)).detach();
         let (list, addresses) = async_channel::unbounded();
         executor.spawn(follower.run(journal, addresses)).detach();
--- a/crates/ivypitch-lab/src/custody_fleet.rs
+++ b/crates/ivypitch-lab/src/custody_fleet.rs
@@ -571,7 +571,7 @@
         if !self.is_up(by) {
             return;
         }
-        let both = !self.cuts.get(&(by, at)).is_some_and(|&n| n > 0);
+        let both = self.cuts.get(&(by, at)).is_none_or(|&n| n == 0);
         let there = self.is_up(at) && !self.nodes[at].stopped && both;
         let truth = there.then_some(self.nodes[at].birth);
         let held = self.nodes[by].view[at];
@@ -709,10 +709,8 @@
                 }
                 self.look_soon(&BTreeSet::from([gateway]), 20, 300);
             }
-            What::End { gateway, .. } => {
-                if self.is_up(gateway) && self.nodes[gateway].ending {
-                    self.die(gateway);
-                }
+            What::End { gateway, .. } if self.is_up(gateway) && self.nodes[gateway].ending => {
+                self.die(gateway)
             }
             What::CutZone { .. } | What::CutOff { .. } => {
                 for pair in self.cut_pairs(fault.what) {
@@ -1041,6 +1039,16 @@
             if let Some((starts, _)) = stmt.caught.filter(|_| stmt.came_back) {
                 verdict.caught += 1;
                 verdict.carried += u64::from(served && stmt.starts == starts);
+                if !(served && stmt.starts == starts) {
+                    self.trace(|| {
+                        format!(
+                            "not carried {id:x}: load {load}, work {}, told {:?}, starts {} after {starts}",
+                            stmt.work / MS,
+                            stmt.told,
+                            stmt.starts
+                        )
+                    });
+                }
             }
         }
         self.first_asks.sort_unstable();
--- a/crates/ivypitch-lab/src/experiments.rs
+++ b/crates/ivypitch-lab/src/experiments.rs
@@ -9,6 +9,7 @@
 use crate::engine::Model;
 use crate::figures::Figures;
 use crate::fleet::{Fleet, Plan};
+use crate::members_fleet;
 use crate::report::{Bound, Report};
 use crate::sockets;
 use crate::traffic::{self, Flood, Team, Work};
@@ -25,6 +26,11 @@
         about: "one of three teams at 10 times its traffic, with and without the teams' queues, in virtual time and on sockets",
         run: team_flood,
     },
+    Experiment {
+        name: "members",
+        about: "how soon the loss of a gateway is known to all, and who is taken for lost that lives, in virtual time",
+        run: members,
+    },
     Experiment {
         name: "custody",
         about: "fault plans over a fleet whose gateways take each other's statements over, in virtual time",
@@ -72,6 +78,57 @@
     TEAMS.iter().enumerate().map(team).collect()
 }
 
+/// Losses among many members with datagrams dropped; then a cut.
+fn members(quick: bool, seed: u64) -> Report {
+    let mut report = Report::new("members", seed);
+    let sizes: &[(usize, u64)] =
+        if quick { &[(3, 30), (30, 30), (100, 20)] } else { &[(3, 600), (30, 600), (300, 3600)] };
+    for &(size, seconds) in sizes {
+        let terms = ivypitch_members::Terms::default();
+        let calm = members_fleet::Fleet {
+            members: size,
+            zones: 3,
+            drop: 0.05,
+            way: (0.2, 3.0),
+            seconds,
+            kill_each: 0,
+            cut: 0,
+            terms,
+        };
+        let losses = members_fleet::Fleet { kill_each: 2000, ..calm };
+        let cut = members_fleet::Fleet { cut: 6000, seconds: 20, ..calm };
+        let (calm, losses, cut) = std::thread::scope(|scope| {
+            let calm = scope.spawn(|| members_fleet::play(calm, seed));
+            let cut = scope.spawn(|| members_fleet::play(cut, seed));
+            let losses = members_fleet::play(losses, seed);
+            (calm.join().unwrap_or_default(), losses, cut.join().unwrap_or_default())
+        });
+        let place = format!("virtual time, {size} members, 5% of datagrams dropped, {seconds} s");
+        let mut bound = |what: &str, is, least, most| {
+            report.bounds.push(Bound::new(&format!("{place}: {what}"), is, least, most))
+        };
+        bound("until all hear all, ms", calm.joined_ms as f64, 0.0, 10_000.0);
+        bound("kills", losses.kills as f64, 1.0, f64::MAX);
+        bound("a loss is known, median ms", losses.p50_ms as f64, 0.0, f64::MAX);
+        bound("a loss is known, p99 ms", losses.p99_ms as f64, 0.0, 1000.0);
+        bound("a loss is known, at the latest ms", losses.most_ms as f64, 0.0, f64::MAX);
+        bound("living members told lost, calm", calm.false_lost as f64, 0.0, 0.0);
+        bound("living members told lost, beside losses", losses.false_lost as f64, 0.0, 0.0);
+        bound("datagrams a member a second", calm.datagrams_a_member_s, 0.0, f64::MAX);
+        bound("bytes a member a second", calm.bytes_a_member_s, 0.0, f64::MAX);
+        if size > 3 {
+            bound(
+                "cut-off members that doubt themselves, part",
+                cut.doubted as f64 / (size / 3) as f64,
+                0.9,
+                f64::MAX,
+            );
+            bound("others that doubt themselves", cut.doubted_elsewhere as f64, 0.0, 0.0);
+        }
+    }
+    report
+}
+
 /// Fault plans by the seed and those that follow it; the first that breaks a promise is printed, cut down.
 fn custody(quick: bool, seed: u64) -> Report {
     let mut report = Report::new("custody", seed);
--- a/crates/ivypitch-lab/src/lib.rs
+++ b/crates/ivypitch-lab/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod faults;
 pub mod figures;
 pub mod fleet;
+pub mod members_fleet;
 pub mod report;
 pub mod sockets;
 pub mod stand_ins;
--- /dev/null
+++ b/crates/ivypitch-lab/src/members_fleet.rs
@@ -0,0 +1,243 @@
+//! Membership of a whole fleet in virtual time: how soon a loss is known to all, and who is taken for lost that lives.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+
+use ivypitch_members::{Doubt, Members, Nanos, News, Roster, Seat, Terms};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const MS: Nanos = 1_000_000;
+
+#[derive(Clone, Copy, Debug)]
+pub struct Fleet {
+    pub members: usize,
+    pub zones: usize,
+    /// Part of the datagrams that are lost.
+    pub drop: f64,
+    /// Milliseconds that a datagram takes, from and to.
+    pub way: (f64, f64),
+    /// Seconds after all have found each other.
+    pub seconds: u64,
+    /// One is killed each so many milliseconds, and comes back 1.5 s later; 0: none.
+    pub kill_each: u64,
+    /// For so many milliseconds in the middle a zone is cut off; 0: none.
+    pub cut: u64,
+    pub terms: Terms,
+}
+
+#[derive(Clone, Debug, Default, serde::Serialize)]
+pub struct Told {
+    pub kills: u64,
+    /// Milliseconds from a kill until a living member knows, over all pairs.
+    pub p50_ms: u64,
+    pub p99_ms: u64,
+    pub most_ms: u64,
+    /// Pairs that did not hear of it before it was back.
+    pub unheard: u64,
+    /// Members told lost though they lived and could be reached: distinct ones, and the words of it.
+    pub false_lost: u64,
+    pub false_words: u64,
+    pub datagrams_a_member_s: f64,
+    pub bytes_a_member_s: f64,
+    /// Until all heard all, from the first start.
+    pub joined_ms: u64,
+    /// Of a cut: members on the smaller side that doubted themselves, of all there, and of the others.
+    pub doubted: u64,
+    pub doubted_elsewhere: u64,
+}
+
+/// From whom, and what; `None`: a wake.
+type Datagram = Option<(usize, Vec<u8>)>;
+
+struct Sim {
+    fleet: Fleet,
+    now: Nanos,
+    members: Vec<Option<Members>>,
+    births: Vec<u64>,
+    /// Datagrams under way and wakes, in the order of their time.
+    queue: BinaryHeap<Reverse<(Nanos, u64)>>,
+    events: BTreeMap<u64, (usize, Datagram)>,
+    serial: u64,
+    wakes: Vec<Nanos>,
+    rng: ChaCha8Rng,
+    is_cut: bool,
+    sent: u64,
+    bytes: u64,
+}
+
+impl Sim {
+    fn roster(&self) -> Roster {
+        let seat = |i: usize| Seat {
+            name: format!("n{i}"),
+            zone: (i % self.fleet.zones) as u16,
+            address: ([127, 0, 0, 1], 1000 + i as u16).into(),
+        };
+        Roster {
+            seats: (0..self.fleet.members).map(seat).collect(),
+            zones: (0..self.fleet.zones).map(|z| format!("z{z}")).collect(),
+        }
+    }
+
+    fn start(&mut self, i: usize) {
+        self.births[i] += 1;
+        let seed = self.rng.random();
+        let members =
+            Members::new(self.roster(), i as u16, self.births[i], 1, self.fleet.terms, seed, self.now);
+        self.members[i] = Some(members);
+        self.wakes[i] = Nanos::MAX;
+        self.carry(i);
+    }
+
+    fn push(&mut self, at: Nanos, to: usize, datagram: Datagram) {
+        self.serial += 1;
+        self.events.insert(self.serial, (to, datagram));
+        self.queue.push(Reverse((at, self.serial)));
+    }
+
+    fn carry(&mut self, i: usize) {
+        let cut = self.fleet.zones;
+        while let Some((to, data)) = self.members[i].as_mut().and_then(Members::next_send) {
+            let to = usize::from(to);
+            self.sent += 1;
+            self.bytes += data.len() as u64;
+            let apart = self.is_cut && i.is_multiple_of(cut) != to.is_multiple_of(cut);
+            if apart || self.rng.random_bool(self.fleet.drop) {
+                continue;
+            }
+            let (low, high) = self.fleet.way;
+            let way = (self.rng.random_range(low..high) * MS as f64) as Nanos;
+            self.push(self.now + way, to, Some((i, data)));
+        }
+        let Some(next) = self.members[i].as_ref().map(Members::next_wake) else { return };
+        if next < self.wakes[i] {
+            self.wakes[i] = next.max(self.now + 1);
+            self.push(self.wakes[i], i, None);
+        }
+    }
+
+    /// Until then; each piece of news goes to `news`.
+    fn run(&mut self, until: Nanos, news: &mut impl FnMut(&Sim, Nanos, usize, News)) {
+        while let Some(&Reverse((at, serial))) = self.queue.peek().filter(|Reverse((at, _))| *at <= until) {
+            self.queue.pop();
+            let Some((to, datagram)) = self.events.remove(&serial) else { continue };
+            self.now = at;
+            let now = at;
+            let Some(members) = self.members[to].as_mut() else { continue };
+            match datagram {
+                Some((_, data)) => members.datagram(now, &data),
+                None if self.wakes[to] == at => {
+                    self.wakes[to] = Nanos::MAX;
+                    members.woken(now);
+                }
+                None => continue,
+            }
+            self.carry(to);
+            while let Some(what) = self.members[to].as_mut().and_then(Members::next_news) {
+                news(self, now, to, what);
+            }
+        }
+        self.now = until;
+    }
+}
+
+pub fn play(fleet: Fleet, seed: u64) -> Told {
+    let n = fleet.members;
+    let mut sim = Sim {
+        fleet,
+        now: 0,
+        members: (0..n).map(|_| None).collect(),
+        births: vec![0; n],
+        queue: BinaryHeap::new(),
+        events: BTreeMap::new(),
+        serial: 0,
+        wakes: vec![Nanos::MAX; n],
+        rng: ChaCha8Rng::seed_from_u64(seed),
+        is_cut: false,
+        sent: 0,
+        bytes: 0,
+    };
+    let mut told = Told::default();
+    for i in 0..n {
+        sim.start(i);
+    }
+    // Until all hear all.
+    let all = |sim: &Sim| sim.members.iter().flatten().all(|m| usize::from(m.hearing().all_heard()) == n);
+    while !all(&sim) && sim.now < 60_000 * MS {
+        let until = sim.now + 100 * MS;
+        sim.run(until, &mut |_, _, _, _| {});
+    }
+    told.joined_ms = sim.now / MS;
+    (sim.sent, sim.bytes) = (0, 0);
+    let begun = sim.now;
+    let end = begun + fleet.seconds * 1000 * MS;
+    let mut killed: BTreeMap<(usize, u64), (Nanos, u64)> = BTreeMap::new();
+    let mut back: Vec<(Nanos, usize)> = Vec::new();
+    let mut times: Vec<u64> = Vec::new();
+    let mut falsely: BTreeMap<usize, u64> = BTreeMap::new();
+    let mut doubts = (0, 0);
+    let mut next_kill = if fleet.kill_each > 0 { begun + fleet.kill_each * MS } else { Nanos::MAX };
+    let (cut_from, cut_to) = match fleet.cut {
+        0 => (Nanos::MAX, Nanos::MAX),
+        span => (begun + fleet.seconds * 500 * MS, begun + (fleet.seconds * 500 + span) * MS),
+    };
+    while sim.now < end {
+        let next_back = back.first().map_or(Nanos::MAX, |b| b.0);
+        let mut until = end.min(next_kill).min(next_back);
+        for edge in [cut_from, cut_to] {
+            if edge > sim.now {
+                until = until.min(edge);
+            }
+        }
+        sim.run(until, &mut |sim, now, by, news| match news {
+            News::Down { place, birth, left: false } => {
+                let key = (usize::from(place), birth);
+                if let Some((at, heard)) = killed.get_mut(&key) {
+                    times.push((now - *at) / MS);
+                    *heard += 1;
+                } else if sim.births[key.0] == birth && cut_from == Nanos::MAX {
+                    *falsely.entry(key.0).or_default() += 1;
+                }
+            }
+            News::Doubts(Doubt::Smaller | Doubt::Deaf) if sim.is_cut => {
+                if by % sim.fleet.zones == 0 {
+                    doubts.0 += 1
+                } else {
+                    doubts.1 += 1
+                }
+            }
+            _ => {}
+        });
+        if sim.now == next_back {
+            let (_, i) = back.remove(0);
+            sim.start(i);
+        }
+        if sim.now == next_kill {
+            let i = sim.rng.random_range(0..n);
+            next_kill += fleet.kill_each * MS;
+            if sim.members[i].is_some() {
+                killed.insert((i, sim.births[i]), (sim.now, 0));
+                sim.members[i] = None;
+                back.push((sim.now + 1500 * MS, i));
+            }
+        }
+        sim.is_cut = sim.now >= cut_from && sim.now < cut_to;
+    }
+    times.sort_unstable();
+    let at =
+        |q: f64| times.get(((times.len() as f64 * q) as usize).min(times.len().saturating_sub(1))).copied();
+    told.kills = killed.len() as u64;
+    told.p50_ms = at(0.5).unwrap_or(0);
+    told.p99_ms = at(0.99).unwrap_or(0);
+    told.most_ms = at(1.0).unwrap_or(0);
+    // The last ones are not judged: the run may have ended before.
+    let judged = killed.values().filter(|(at, _)| *at + 1500 * MS < end);
+    told.unheard = judged.map(|(_, heard)| (n as u64 - 2).saturating_sub(*heard)).sum();
+    told.false_lost = falsely.len() as u64;
+    told.false_words = falsely.values().sum();
+    let member_seconds = n as f64 * fleet.seconds as f64;
+    told.datagrams_a_member_s = sim.sent as f64 / member_seconds;
+    told.bytes_a_member_s = sim.bytes as f64 / member_seconds;
+    (told.doubted, told.doubted_elsewhere) = doubts;
+    told
+}
