--- a/crates/ivypitch-custody/src/custody.rs
+++ b/crates/ivypitch-custody/src/custody.rs
@@ -1242,7 +1242,14 @@
                         self.look_again(now, id, out);
                     }
                 }
-                Stage::Held | Stage::Witnessed | Stage::Watched => {}
+                // Whatever became of it here: nobody can ask for it any more.
+                Stage::Held | Stage::Witnessed | Stage::Watched if now >= case.until => {
+                    self.turn(id, Stage::Closed);
+                }
+                Stage::Held | Stage::Witnessed | Stage::Watched => {
+                    let until = case.until;
+                    self.wake_case(id, until);
+                }
                 Stage::Kept | Stage::Delivered | Stage::Closed | Stage::InDoubt => {
                     if now >= case.until {
                         self.forget(id);
@@ -1326,10 +1333,12 @@
     }
 
     fn insert(&mut self, id: Id, case: Case) {
+        let until = case.until;
         if let Some(before) = self.cases.insert(id, case) {
             self.wakes.remove(&(before.wake, id));
             self.kept.drop_one(id);
         }
+        self.wake_case(id, until);
     }
 
     fn forget(&mut self, id: Id) {
--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -342,7 +342,7 @@
         let Module { queues, gateway, world } = self;
         let now = world.now;
         let arrival = arrival(&fields, workload, customer, deadline.saturating_sub(now));
-        let bytes = fields.statement.len();
+        let (bytes, id) = (fields.statement.len(), fields.req_number());
         match world.stmts.open(connection, fields, (workload, customer), deadline, client) {
             Ok(stmt) => {
                 world.watch_statement(stmt);
@@ -354,7 +354,12 @@
                     gateway.arrive(now, stmt, arrival, world);
                 }
             }
-            Err(client) => drop(client.try_send(Answer::IdTaken)),
+            Err(client) => {
+                if let Some(keeper) = &mut world.keeper {
+                    keeper.answered(now, id, &Answer::IdTaken);
+                }
+                let _ = client.try_send(Answer::IdTaken);
+            }
         }
     }
 
@@ -499,6 +504,9 @@
                         // Its end is kept for when the client comes back, here or elsewhere.
                         return self.settle();
                     }
+                    if let Some(keeper) = &mut world.keeper {
+                        keeper.answered(now, id, &Answer::Killed);
+                    }
                     world.stmts.answer(stmt);
                     self.expire(stmt);
                 }
