--- a/crates/ivypitch-custody/src/custody.rs
+++ b/crates/ivypitch-custody/src/custody.rs
@@ -1,7 +1,7 @@
 //! The statements that this gateway acts for, waits for, or may have to take over. One state for each, changed in one
 //! function; what is to be done comes out through [`Output`].
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use ivypitch::interface::{Nanos, SECOND};
 
@@ -229,8 +229,11 @@
     suspected: BTreeSet<u16>,
     /// When the newest loss was heard of.
     last_loss: Option<Nanos>,
-    /// When each end was heard of, while its rows may still be at an engine.
+    /// When each end was heard of, while its rows may still be at an engine; and the same in order of time.
     ended: BTreeMap<Id, Nanos>,
+    ended_in_order: VecDeque<(Nanos, Id)>,
+    /// Cases that are over, the oldest first; beyond `most_entries` they are forgotten before their time.
+    over: VecDeque<Id>,
     /// What the next batch tells, by statement: its end, where it has one.
     news: BTreeMap<Id, Option<End>>,
     next_tell: Nanos,
@@ -260,6 +263,8 @@
             suspected: BTreeSet::new(),
             last_loss: None,
             ended: BTreeMap::new(),
+            ended_in_order: VecDeque::new(),
+            over: VecDeque::new(),
             news: BTreeMap::new(),
             next_tell: Nanos::MAX,
             to_teach: BTreeMap::new(),
@@ -757,6 +762,7 @@
         self.ledger.tell(now, told);
         if matches!(told.end, Some(End::Completed { .. })) {
             self.ended.insert(told.id, now);
+            self.ended_in_order.push_back((now, told.id));
         }
     }
 
@@ -935,6 +941,18 @@
         }
     }
 
+    /// The engine at which it may be ([`Output::adopt`]) is none that is known here: nobody can be asked. What is
+    /// harmless runs anew; of anything else nobody can say more.
+    pub fn engine_unknown(&mut self, now: Nanos, id: Id, out: &mut dyn Output) {
+        let Some(case) = self.cases.get(&id).filter(|case| case.acts()) else { return };
+        if case.facts.idempotent {
+            let (facts, left) = (case.facts.clone(), case.deadline.saturating_sub(now));
+            out.adopt(id, &facts, left, None);
+        } else {
+            self.answered(now, id, Word::Aborted, out);
+        }
+    }
+
     /// Another gateway ends and hands this over.
     fn take_from(&mut self, now: Nanos, told: Told, out: &mut dyn Output) {
         let id = told.id;
@@ -1261,8 +1279,20 @@
 
     fn tidy(&mut self, now: Nanos) {
         self.ledger.tidy(now);
-        while self.ended.len() > self.ledger.len() {
-            self.ended.pop_first();
+        let (most, late) = (self.terms.most_entries, now.saturating_sub(STILL_AT_ENGINE));
+        let is_old = |&(at, _): &(Nanos, Id)| at < late;
+        while self.ended_in_order.front().is_some_and(is_old) || self.ended_in_order.len() > most {
+            let Some((at, id)) = self.ended_in_order.pop_front() else { break };
+            if self.ended.get(&id) == Some(&at) {
+                self.ended.remove(&id);
+            }
+        }
+        // Their witnesses still know the end.
+        while self.over.len() > most {
+            let Some(id) = self.over.pop_front() else { break };
+            if self.cases.get(&id).is_some_and(|case| !case.is_open()) {
+                self.forget(id);
+            }
         }
     }
 
@@ -1380,6 +1410,7 @@
             case.facts.text = Vec::new();
             let until = case.until;
             self.wake_case(id, until);
+            self.over.push_back(id);
         }
     }
 }
--- a/crates/ivypitch-gateway/src/actors/custody.rs
+++ b/crates/ivypitch-gateway/src/actors/custody.rs
@@ -135,6 +135,10 @@
         self.custody.answered(now, id, word, &mut self.acts);
     }
 
+    pub fn engine_unknown(&mut self, now: Nanos, id: Id) {
+        self.custody.engine_unknown(now, id, &mut self.acts);
+    }
+
     pub fn outlives_client(&self, id: Id) -> bool {
         self.custody.outlives_client(id)
     }
--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -302,8 +302,15 @@
     fn adopt(&mut self, id: Id, text: Vec<u8>, left: Nanos, engine: Option<u64>) {
         let Module { gateway, world, .. } = self;
         let now = world.now;
+        let at = engine.map(|number| world.numbers.iter().position(|&n| n == number).map(EngineIx));
+        let is_there = |at: &EngineIx| matches!(world.mailboxes.get(at.0), Some(Some(_)));
+        let Some(keeper) = &mut world.keeper else { return };
+        if at.is_some_and(|at| !at.as_ref().is_some_and(is_there)) {
+            return keeper.engine_unknown(now, id);
+        }
         let Ok(fields) = fields::read(&Bytes::from(text)) else {
-            return log::warn!("custody: statement {id:016x} can't be read again");
+            log::warn!("custody: statement {id:016x} can't be read again");
+            return keeper.answered(now, id, &Answer::Aborted);
         };
         let index = |list: &[String], name: &Bytes| list.iter().position(|n| n.as_bytes() == &name[..]);
         let workload = index(&world.names.workloads, &fields.kind).unwrap_or(0);
@@ -313,24 +320,17 @@
         let arrival = arrival(&fields, workload, customer, deadline.saturating_sub(now));
         // Nobody waits for it here but those that custody knows of.
         let (nobody, _) = async_channel::bounded(1);
-        let Ok(stmt) = world.stmts.open(0, fields, (workload, customer), deadline, nobody) else { return };
+        let Ok(stmt) = world.stmts.open(0, fields, (workload, customer), deadline, nobody) else {
+            // An execution of it is still out here, under the same id.
+            return keeper.answered(now, id, &Answer::Aborted);
+        };
         world.watch_statement(stmt);
-        let at = engine.map(|number| world.numbers.iter().position(|&n| n == number).map(EngineIx));
-        match at {
+        match at.flatten() {
             None => gateway.arrive(now, stmt, arrival, world),
-            Some(Some(at)) if matches!(world.mailboxes.get(at.0), Some(Some(_))) => {
+            Some(at) => {
                 gateway.adopt(now, stmt, arrival, at, world);
                 world.watch_execution(stmt, at);
             }
-            // Its engine is none of those that are known: what is harmless runs anew.
-            Some(_) if world.idempotent.get(workload) == Some(&true) => {
-                gateway.arrive(now, stmt, arrival, world);
-            }
-            // Of anything else nobody can say more.
-            Some(_) => {
-                world.answer(stmt, Answer::Aborted);
-                world.drop_statement(stmt);
-            }
         }
     }
 
--- a/crates/ivypitch-gateway/src/actors/peers.rs
+++ b/crates/ivypitch-gateway/src/actors/peers.rs
@@ -287,6 +287,23 @@
         (Outbox { serial: self.serial.get(), frames, waiting: Rc::new(Cell::new(0)) }, to_write)
     }
 
+    /// Whose first frame this is, where it is of this version and list; a stranger is told of once.
+    fn spoken_to(&self, first: &Frame) -> Option<u16> {
+        let &Frame::Hello { version, roster, place, birth } = first else { return None };
+        if version == VERSION && roster == self.roster.mark() && place != self.place {
+            return (usize::from(place) < self.roster.seats.len()).then_some(place);
+        }
+        if usize::from(place) < self.roster.seats.len()
+            && self.strangers.borrow_mut().insert(place, birth) != Some(birth)
+        {
+            log::warn!(
+                "link from place {place} refused: version {version}, list {roster:08x}; here {VERSION}, {:08x}",
+                self.roster.mark()
+            );
+        }
+        None
+    }
+
     fn hello(&self) -> Bytes {
         let (roster, place, birth) = (self.roster.mark(), self.place, self.birth);
         peers::write(&Frame::Hello { version: VERSION, roster, place, birth })
@@ -322,7 +339,7 @@
     let (outbox, frames) = shared.outbox();
     let linked = PeersMail::Linked { place, outbox: outbox.clone(), by_them: true };
     let _ = shared.mailbox.try_send(linked);
-    converse(shared, place, stream, input, outbox, frames).await;
+    converse(shared, place, true, stream, input, outbox, frames).await;
 }
 
 async fn dial(shared: Rc<Shared>, place: u16, address: SocketAddr, outbox: Outbox, frames: Receiver<Bytes>) {
@@ -334,7 +351,7 @@
     let serial = outbox.serial;
     if let Some(stream) = connect.or(late).await {
         let _ = stream.get_ref().set_nodelay(true);
-        converse(&shared, place, stream, BytesMut::new(), outbox, frames).await;
+        converse(&shared, place, false, stream, BytesMut::new(), outbox, frames).await;
     }
     let _ = shared.mailbox.try_send(PeersMail::Over { place, serial });
 }
@@ -346,21 +363,7 @@
         None
     };
     let first = async { next_frame(stream, input).await };
-    match first.or(late).await {
-        Some(Frame::Hello { version, roster, place, birth }) => {
-            if version == VERSION && roster == shared.roster.mark() && place != shared.place {
-                return (usize::from(place) < shared.roster.seats.len()).then_some(place);
-            }
-            if shared.strangers.borrow_mut().insert(place, birth) != Some(birth) {
-                log::warn!(
-                    "link from place {place} refused: version {version}, list {roster:08x}; here {VERSION}, {:08x}",
-                    shared.roster.mark()
-                );
-            }
-            None
-        }
-        _ => None,
-    }
+    first.or(late).await.and_then(|frame| shared.spoken_to(&frame))
 }
 
 async fn next_frame(stream: &Async<TcpStream>, input: &mut BytesMut) -> Option<Frame> {
@@ -376,10 +379,11 @@
     }
 }
 
-/// Both ways until either breaks or falls silent.
+/// Both ways until either breaks or falls silent. `greeted`: the other's first frame has been looked at.
 async fn converse(
     shared: &Rc<Shared>,
     place: u16,
+    mut greeted: bool,
     stream: Async<TcpStream>,
     mut input: BytesMut,
     outbox: Outbox,
@@ -421,6 +425,9 @@
             };
             let frame = async { next_frame(&stream, &mut input).await };
             let Some(frame) = frame.or(late).await else { return };
+            if !std::mem::replace(&mut greeted, true) && shared.spoken_to(&frame) != Some(place) {
+                return;
+            }
             if let Frame::Body(message) = frame {
                 // Nothing more is read until the module has taken enough of what came before.
                 if untaken.send(()).await.is_err() {
--- a/crates/ivypitch-lab/src/command.rs
+++ b/crates/ivypitch-lab/src/command.rs
@@ -22,6 +22,9 @@
     Run(Run),
     /// Emulated engines, a gateway and traffic on loopback for 20 s, with a line a second.
     Demo,
+    /// One emulated engine as a process; the laboratory starts it.
+    #[command(hide = true)]
+    Engine(crate::processes::engine::EngineProcess),
 }
 
 #[derive(Args)]
@@ -51,6 +54,7 @@
             }
             What::Run(run) => run.play(),
             What::Demo => demo::play(),
+            What::Engine(engine) => engine.run(),
         }
     }
 }
--- a/crates/ivypitch-lab/src/custody_fleet.rs
+++ b/crates/ivypitch-lab/src/custody_fleet.rs
@@ -27,6 +27,8 @@
     pub span: u64,
     /// Mean milliseconds between statements, of the whole fleet.
     pub gap: u64,
+    /// Mean milliseconds between faults.
+    pub fault_gap: u64,
     /// Part of the statements that are loads.
     pub loads: f64,
     /// False: loads are sent without a grant, for the test that shows what it is for.
@@ -44,6 +46,7 @@
             engines: 4,
             span: 12_000,
             gap: 12,
+            fault_gap: 700,
             loads: 0.4,
             grants: true,
             policy: Policy::Refuse,
@@ -281,7 +284,7 @@
             zones: fleet.zones,
             engines: fleet.engines,
             span: fleet.span,
-            gap: 700,
+            gap: fleet.fault_gap,
             losses_only,
         },
         seed,
@@ -624,17 +627,17 @@
                     *self.cuts.entry(pair).or_default() += 1;
                 }
                 self.look_soon(&(0..self.fleet.gateways).collect(), 300, 1000);
-                self.heal_after(i, fault.what);
+                self.heal_after(i);
             }
             What::Mute { from, to, .. } => {
                 for pair in pair(from, to) {
                     *self.broken.entry(pair).or_default() += 1;
                 }
-                self.heal_after(i, fault.what);
+                self.heal_after(i);
             }
             What::Late { from, to, by, .. } => {
                 self.late.insert((from, to), by * MS);
-                self.heal_after(i, fault.what);
+                self.heal_after(i);
             }
             // What is on its way is lost.
             What::Reset { from, to } => {
@@ -644,20 +647,13 @@
             What::EngineDies { engine } => self.engines[engine].queries.clear(),
             What::EngineDrains { engine, .. } => {
                 self.engines[engine].drains = true;
-                self.heal_after(i, fault.what);
+                self.heal_after(i);
             }
         }
     }
 
-    fn heal_after(&mut self, i: usize, what: What) {
-        let span = match what {
-            What::CutZone { span, .. }
-            | What::CutOff { span, .. }
-            | What::Mute { span, .. }
-            | What::Late { span, .. }
-            | What::EngineDrains { span, .. } => span,
-            _ => 0,
-        };
+    fn heal_after(&mut self, i: usize) {
+        let span = self.plan.faults[i].span().unwrap_or(0);
         self.after(span * MS, Event::Heal(i));
     }
 
--- a/crates/ivypitch-lab/src/experiments.rs
+++ b/crates/ivypitch-lab/src/experiments.rs
@@ -9,6 +9,7 @@
 use crate::engine::Model;
 use crate::figures::Figures;
 use crate::fleet::{Fleet, Plan};
+use crate::gateway_loss;
 use crate::members_fleet;
 use crate::report::{Bound, Report};
 use crate::sockets;
@@ -36,6 +37,11 @@
         about: "fault plans over a fleet whose gateways take each other's statements over, in virtual time",
         run: custody,
     },
+    Experiment {
+        name: "gateway-loss",
+        about: "real gateways and engines, a gateway lost every 3 s while clients come back, beside the same without losses and without peers",
+        run: gateway_loss::play,
+    },
 ];
 
 pub const TEAMS: [(&str, f64); 3] = [("retail", 0.5), ("merchant", 0.35), ("agents", 0.15)];
--- a/crates/ivypitch-lab/src/faults.rs
+++ b/crates/ivypitch-lab/src/faults.rs
@@ -39,6 +39,22 @@
     pub what: What,
 }
 
+impl Fault {
+    /// Milliseconds until it is over, or what it took away is back; `None` where nothing follows.
+    pub fn span(&self) -> Option<u64> {
+        match self.what {
+            What::Kill { back, .. } | What::End { back, .. } => Some(back),
+            What::Stop { span, .. }
+            | What::CutZone { span, .. }
+            | What::CutOff { span, .. }
+            | What::Mute { span, .. }
+            | What::Late { span, .. }
+            | What::EngineDrains { span, .. } => Some(span),
+            What::Reset { .. } | What::EngineDies { .. } => None,
+        }
+    }
+}
+
 impl fmt::Display for Fault {
     fn fmt(&self, f: &mut fmt::Formatter) -> fmt::Result {
         write!(f, "at={} ", self.at)?;
--- /dev/null
+++ b/crates/ivypitch-lab/src/processes/journal.rs
@@ -0,0 +1,66 @@
+//! The journal service: each follower is told every event behind the number it names, and the last number ten times a
+//! second.
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use crate::stand_ins::event;
+
+const BEAT: Duration = Duration::from_millis(100);
+
+type Events = Arc<(Mutex<Vec<String>>, Condvar)>;
+
+pub struct Journal {
+    pub address: SocketAddr,
+    events: Events,
+}
+
+impl Journal {
+    /// `rows`: the first event, the whole list.
+    pub fn start(rows: &[String]) -> std::io::Result<Journal> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let events: Events = Arc::new((Mutex::new(vec![event(1, true, rows)]), Condvar::new()));
+        let shared = events.clone();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let events = shared.clone();
+                thread::spawn(move || follow(stream, &events));
+            }
+        });
+        Ok(Journal { address, events })
+    }
+
+    /// Another event: these rows have changed.
+    pub fn tell(&self, rows: &[String]) {
+        let mut events = lock(&self.events);
+        let pos = events.len() as u64 + 1;
+        events.push(event(pos, false, rows));
+        drop(events);
+        self.events.1.notify_all();
+    }
+}
+
+fn lock(events: &Events) -> std::sync::MutexGuard<'_, Vec<String>> {
+    events.0.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+fn follow(mut stream: TcpStream, events: &Events) -> Option<()> {
+    let mut line = String::new();
+    BufReader::new(stream.try_clone().ok()?).read_line(&mut line).ok()?;
+    let mut last: usize = line.trim().strip_prefix("tail ")?.parse().ok()?;
+    loop {
+        let said = {
+            let held = lock(events);
+            let wait = events.1.wait_timeout_while(held, BEAT, |all| all.len() <= last);
+            let held = wait.unwrap_or_else(|poisoned| poisoned.into_inner()).0;
+            let new: String = held.iter().skip(last).cloned().collect();
+            last = last.max(held.len());
+            if new.is_empty() { format!("{last}\n") } else { new }
+        };
+        stream.write_all(said.as_bytes()).ok()?;
+    }
+}
--- /dev/null
+++ b/crates/ivypitch-lab/src/processes/mod.rs
@@ -0,0 +1,479 @@
+//! Fleets of real processes: gateways and emulated engines as children of this one, a journal service, and a relay on
+//! every way between them. Faults of processes and links follow a plan; what engines and clients counted is kept with
+//! its time. Only processes that were started here are signalled, by their id.
+
+pub mod clients;
+pub mod engine;
+pub mod journal;
+pub mod relay;
+pub mod story;
+
+use std::io::{BufRead, BufReader, Write};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::path::PathBuf;
+use std::process::{Child, ChildStdin, Command, Stdio};
+use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::{Pid, Signal, kill_process};
+
+use crate::faults::{Fault, Plan, What};
+use crate::stand_ins::{Seen, configuration, program};
+use engine::stamp;
+use journal::Journal;
+use relay::{End, Net};
+
+/// What a process said, with its microseconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Said {
+    pub at: u64,
+    pub engine: usize,
+    pub what: String,
+    pub id: String,
+    /// The gateway at whose address it was said.
+    pub by: usize,
+}
+
+/// What was done to a process or a link.
+#[derive(Clone, Copy, Debug)]
+pub struct Done {
+    pub at: u64,
+    pub fault: Fault,
+}
+
+#[derive(Clone, Debug)]
+pub struct Setup {
+    pub gateways: usize,
+    pub zones: usize,
+    pub engines: Engines,
+    /// Longest statement timeout.
+    pub longest_ms: u64,
+    /// Own settings as JSON: what stands in `peers` beside the list; `None`: gateways without peers.
+    pub peers: Option<String>,
+    /// Further records of the own file, each with a comma behind it.
+    pub own: String,
+    pub seed: u64,
+    /// Changes the settings of the deployment.
+    pub settings: fn(String) -> String,
+}
+
+#[derive(Clone, Debug)]
+pub enum Engines {
+    /// Emulated ones of so many cores.
+    Processes { count: usize, cores: f64 },
+    /// A test's own.
+    At(Vec<SocketAddr>),
+}
+
+impl Default for Setup {
+    fn default() -> Setup {
+        Setup {
+            gateways: 5,
+            zones: 3,
+            engines: Engines::Processes { count: 3, cores: 16.0 },
+            longest_ms: 3000,
+            peers: Some(r#""custody":{"remembered_ms":400,"asks_from_ms":0}"#.into()),
+            own: String::new(),
+            seed: 1,
+            settings: |settings| settings,
+        }
+    }
+}
+
+/// A gateway's seat; its process comes and goes.
+pub struct Seat {
+    pub address: SocketAddr,
+    pub peers_at: SocketAddr,
+    config: PathBuf,
+    own: Option<PathBuf>,
+    /// Each engine as this gateway reaches it.
+    engines_at: Vec<SocketAddr>,
+    /// Each gateway has a journal service of its own, since it reaches the engines by its own ways.
+    journal: Journal,
+    child: Option<Child>,
+    /// The lines of all its processes.
+    pub log: Seen<String>,
+    pub stopped: bool,
+}
+
+struct EngineSeat {
+    listen: Vec<SocketAddr>,
+    child: Option<Child>,
+    orders: Option<ChildStdin>,
+}
+
+pub struct Fleet {
+    pub setup: Setup,
+    pub net: Net,
+    pub seats: Vec<Seat>,
+    engines: Vec<EngineSeat>,
+    pub said: Seen<Said>,
+    pub done: Vec<Done>,
+    /// Processes that ended without the plan, and lines of the log that no program may write.
+    pub crashes: Vec<String>,
+}
+
+/// Below the ports that the system gives to outgoing connections, so that none of those takes one while a process is
+/// away.
+fn free_port() -> SocketAddr {
+    static NEXT: AtomicU16 = AtomicU16::new(0);
+    loop {
+        let place = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 18_000 + (std::process::id() as u16 % 97 * 131 + place) % 14_000;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
+            return address;
+        }
+    }
+}
+
+pub fn row(id: &str, address: SocketAddr, zone: usize, state: &str) -> String {
+    format!(
+        r#"{{"id":"{id}","addr":"{address}","zone":"z{zone}","kind":"std","cell":0,"state":"{state}","weight":1,"started_ms":0}}"#
+    )
+}
+
+impl Fleet {
+    /// All processes started, and each gateway hears all others.
+    pub fn start(setup: Setup) -> Result<Fleet, String> {
+        let net = Net::start(setup.seed);
+        let told = |e: std::io::Error| e.to_string();
+        let count = match &setup.engines {
+            Engines::Processes { count, .. } => *count,
+            Engines::At(all) => all.len(),
+        };
+        let engines = (0..count).map(|_| EngineSeat { listen: Vec::new(), child: None, orders: None });
+        let mut fleet = Fleet {
+            net,
+            seats: Vec::new(),
+            engines: engines.collect(),
+            said: Seen::new(),
+            done: Vec::new(),
+            crashes: Vec::new(),
+            setup,
+        };
+        let gateways = fleet.setup.gateways;
+        for e in 0..count {
+            fleet.engines[e].listen = match &fleet.setup.engines {
+                Engines::Processes { .. } => (0..gateways).map(|_| free_port()).collect(),
+                Engines::At(all) => vec![all[e]; gateways],
+            };
+            fleet.start_engine(e)?;
+        }
+        let peers_at: Vec<SocketAddr> = (0..gateways).map(|_| free_port()).collect();
+        for g in 0..gateways {
+            let seat = fleet.seat(g, &peers_at).map_err(told)?;
+            fleet.seats.push(seat);
+        }
+        (0..gateways).try_for_each(|g| fleet.start_gateway(g))?;
+        if fleet.setup.peers.is_some() {
+            for seat in &fleet.seats {
+                seat.log.wait_for("members", gateways - 1, |line| line.contains("is up"));
+            }
+        }
+        Ok(fleet)
+    }
+
+    fn seat(&self, g: usize, peers_at: &[SocketAddr]) -> std::io::Result<Seat> {
+        static NUMBER: AtomicUsize = AtomicUsize::new(0);
+        let (zones, me) = (self.setup.zones, End::Gateway(g));
+        let mut engines_at = Vec::new();
+        for (e, engine) in self.engines.iter().enumerate() {
+            engines_at.push(self.net.open(me, End::Engine(e), engine.listen[g], false)?);
+        }
+        let rows: Vec<String> = engines_at
+            .iter()
+            .enumerate()
+            .map(|(e, &at)| row(&format!("s-{e}"), at, e % zones, "in_service"))
+            .collect();
+        let journal = Journal::start(&rows)?;
+        let journal_at = self.net.open(me, End::Journal, journal.address, false)?;
+        let address = free_port();
+        let names: Vec<String> = (0..zones).map(|z| format!("\"z{z}\"")).collect();
+        let config = configuration(&address.to_string(), &rows, None, 1024)
+            .replace("\"name\":\"n0\"", &format!("\"name\":\"n{g}\""))
+            .replace("\"zones\":[\"z\"]", &format!("\"zones\":[{}]", names.join(",")))
+            .replace("\"journal\":\"\"", &format!("\"journal\":\"{journal_at}\""))
+            .replace("\"balancers\":1", &format!("\"balancers\":{}", self.setup.gateways))
+            .replace("8c1f30d27a5be964", &format!("{:016x}", self.setup.seed ^ (g as u64) << 32))
+            .replace(
+                "\"give-up-ns\":20000000000",
+                &format!("\"give-up-ns\":{}000000", self.setup.longest_ms),
+            );
+        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+        let path = std::env::temp_dir().join(format!("fleet-{}-{number}.json", std::process::id()));
+        std::fs::write(&path, (self.setup.settings)(config))?;
+        let mut own = None;
+        if let Some(peers) = &self.setup.peers {
+            let mut list = Vec::new();
+            for (other, &target) in peers_at.iter().enumerate() {
+                let at = match other == g {
+                    true => target,
+                    false => self.net.open(me, End::Gateway(other), target, true)?,
+                };
+                list.push(format!(r#"{{"name":"n{other}","zone":"z{}","address":"{at}"}}"#, other % zones));
+            }
+            let list = list.join(",");
+            let text = format!(r#"{{{}"peers":{{"gateways":[{list}],{peers}}}}}"#, self.setup.own);
+            let own_path = path.with_extension("own.json");
+            std::fs::write(&own_path, text)?;
+            own = Some(own_path);
+        }
+        let log = Seen::new();
+        Ok(Seat {
+            address,
+            peers_at: peers_at[g],
+            config: path,
+            own,
+            engines_at,
+            journal,
+            child: None,
+            log,
+            stopped: false,
+        })
+    }
+
+    pub fn start_gateway(&mut self, g: usize) -> Result<(), String> {
+        let seat = &mut self.seats[g];
+        let mut command = Command::new(program());
+        command.arg("serve").env("PROXY_CONFIG", &seat.config).stdin(Stdio::null());
+        match &seat.own {
+            Some(own) => command.env("IVYPITCH_OWN", own),
+            None => command.env_remove("IVYPITCH_OWN"),
+        };
+        let mut child = command.stderr(Stdio::piped()).spawn().map_err(|e| e.to_string())?;
+        let lines = child.stderr.take().map(|stderr| BufReader::new(stderr).lines());
+        let log = seat.log.clone();
+        let begun = log.all().iter().filter(|line| line.contains("listens on")).count();
+        thread::spawn(move || {
+            lines.into_iter().flatten().map_while(Result::ok).for_each(|line| log.push(line));
+        });
+        seat.child = Some(child);
+        let count = begun + 1;
+        seat.log
+            .wait_for("start", count, |line| line.contains("listens on") || line.contains("ERROR listen"));
+        Ok(())
+    }
+
+    pub fn start_engine(&mut self, e: usize) -> Result<(), String> {
+        let Engines::Processes { cores, .. } = self.setup.engines else { return Ok(()) };
+        let seat = &mut self.engines[e];
+        let listen: Vec<String> = seat.listen.iter().map(SocketAddr::to_string).collect();
+        let mut child = Command::new(program())
+            .args(["lab", "engine", "--cores", &cores.to_string(), "--listen", &listen.join(",")])
+            .stdin(Stdio::piped())
+            .stdout(Stdio::piped())
+            .spawn()
+            .map_err(|e| e.to_string())?;
+        let lines = child.stdout.take().map(|stdout| BufReader::new(stdout).lines());
+        seat.orders = child.stdin.take();
+        seat.child = Some(child);
+        let said = self.said.clone();
+        let begun = said.all().iter().filter(|s| s.engine == e && s.what == "ready").count();
+        thread::spawn(move || {
+            for line in lines.into_iter().flatten().map_while(Result::ok) {
+                let mut words = line.split(' ');
+                let mut word = || words.next().unwrap_or_default().to_owned();
+                let (at, what, id, by) = (word(), word(), word(), word());
+                let (at, by) = (at.parse().unwrap_or(0), by.parse().unwrap_or(0));
+                said.push(Said { at, engine: e, what, id, by });
+            }
+        });
+        self.said.wait_for("engine", begun + 1, |s| s.engine == e && s.what == "ready");
+        Ok(())
+    }
+
+    /// `fails 0.5`, `mute 1`: to an engine that is a process.
+    pub fn order(&mut self, e: usize, line: &str) {
+        if let Some(orders) = &mut self.engines[e].orders {
+            let _ = writeln!(orders, "{line}");
+        }
+    }
+
+    pub fn signal(&self, g: usize, signal: Signal) {
+        let Some(child) = &self.seats[g].child else { return };
+        if let Some(pid) = Pid::from_raw(child.id() as i32) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    pub fn is_up(&self, g: usize) -> bool {
+        self.seats[g].child.is_some()
+    }
+
+    pub fn kill(&mut self, g: usize) {
+        self.check(g);
+        if let Some(mut child) = self.seats[g].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.seats[g].stopped = false;
+    }
+
+    pub fn kill_engine(&mut self, e: usize) {
+        if let Some(mut child) = self.engines[e].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// SIGTERM, and its exit code.
+    pub fn end(&mut self, g: usize) -> Option<i32> {
+        self.signal(g, Signal::TERM);
+        let code = self.seats[g].child.take()?.wait().ok()?.code();
+        if code != Some(0) {
+            self.crashes.push(format!("n{g} ended with {code:?} at SIGTERM"));
+        }
+        code
+    }
+
+    pub fn stop(&mut self, g: usize) {
+        self.signal(g, Signal::STOP);
+        self.seats[g].stopped = true;
+    }
+
+    pub fn go_on(&mut self, g: usize) {
+        self.signal(g, Signal::CONT);
+        self.seats[g].stopped = false;
+    }
+
+    /// A process that has ended by itself is a crash.
+    fn check(&mut self, g: usize) {
+        let ended = self.seats[g].child.as_mut().and_then(|child| child.try_wait().ok().flatten());
+        if let Some(code) = ended {
+            self.seats[g].child = None;
+            self.crashes.push(format!("n{g} ended by itself: {code}"));
+        }
+    }
+
+    /// Nothing passes between those of which `apart` holds, both ways or one.
+    pub fn cut(&self, apart: impl Fn(usize, usize) -> bool, begins: bool) {
+        for a in 0..self.setup.gateways {
+            for b in (0..self.setup.gateways).filter(|&b| b != a && apart(a, b)) {
+                let (a, b) = (End::Gateway(a), End::Gateway(b));
+                if begins { self.net.silence(a, b) } else { self.net.hear(a, b) }
+            }
+        }
+    }
+
+    fn apply(&mut self, fault: Fault, begins: bool) {
+        let zones = self.setup.zones;
+        if begins {
+            self.done.push(Done { at: stamp(), fault });
+        }
+        match fault.what {
+            What::Kill { gateway, .. } if begins => self.kill(gateway),
+            What::Stop { gateway, .. } if begins => self.stop(gateway),
+            What::Stop { gateway, .. } => self.go_on(gateway),
+            What::End { gateway, .. } if begins => {
+                self.check(gateway);
+                self.signal(gateway, Signal::TERM);
+            }
+            What::Kill { gateway, .. } | What::End { gateway, .. } => {
+                if let What::End { .. } = fault.what
+                    && let Some(code) = self.seats[gateway].child.take().and_then(|mut c| c.wait().ok())
+                    && !code.success()
+                {
+                    self.crashes.push(format!("n{gateway} ended with {code} at SIGTERM"));
+                }
+                if !self.is_up(gateway)
+                    && let Err(e) = self.start_gateway(gateway)
+                {
+                    self.crashes.push(format!("n{gateway} did not start again: {e}"));
+                }
+            }
+            What::CutZone { zone, .. } => {
+                self.cut(|a, b| (a % zones == zone) != (b % zones == zone), begins);
+            }
+            What::CutOff { gateway, .. } => self.cut(|a, b| (a == gateway) != (b == gateway), begins),
+            What::Mute { from, to, .. } => self.cut(|a, b| (a, b) == (from, to), begins),
+            What::Late { from, to, by, .. } => {
+                let late = Duration::from_millis(if begins { by } else { 0 });
+                self.net.change(End::Gateway(from), End::Gateway(to), |way| way.late = late);
+            }
+            What::Reset { from, to } if begins => self.net.reset(End::Gateway(from), End::Gateway(to)),
+            What::EngineDies { engine } if begins => {
+                self.kill_engine(engine);
+                if let Err(e) = self.start_engine(engine) {
+                    self.crashes.push(format!("engine {engine} did not start again: {e}"));
+                }
+            }
+            What::EngineDrains { engine, .. } => {
+                let state = if begins { "terminating" } else { "in_service" };
+                self.tell_state(engine, state);
+            }
+            What::Reset { .. } | What::EngineDies { .. } => {}
+        }
+    }
+
+    /// The journal's word on an engine, to all gateways.
+    pub fn tell_state(&self, engine: usize, state: &str) {
+        (0..self.setup.gateways).for_each(|g| self.tell_state_to(g, engine, state));
+    }
+
+    pub fn tell_state_to(&self, g: usize, engine: usize, state: &str) {
+        let seat = &self.seats[g];
+        let (id, zone) = (format!("s-{engine}"), engine % self.setup.zones);
+        seat.journal.tell(&[row(&id, seat.engines_at[engine], zone, state)]);
+    }
+
+    /// Plays the plan's faults at their times, counted from `from`, until the last is over.
+    pub fn play(&mut self, plan: &Plan, from: Instant) {
+        let mut steps: Vec<(u64, bool, Fault)> = Vec::new();
+        for &fault in &plan.faults {
+            steps.push((fault.at, true, fault));
+            if let Some(span) = fault.span() {
+                steps.push((fault.at + span, false, fault));
+            }
+        }
+        steps.sort_by_key(|&(at, begins, _)| (at, begins));
+        for (at, begins, fault) in steps {
+            let due = from + Duration::from_millis(at);
+            thread::sleep(due.saturating_duration_since(Instant::now()));
+            self.apply(fault, begins);
+        }
+    }
+
+    /// Ends all gateways as planned stops would, and tells what the fleet came to.
+    pub fn finish(&mut self) {
+        for g in 0..self.setup.gateways {
+            self.check(g);
+            if self.seats[g].stopped {
+                self.go_on(g);
+            }
+            self.signal(g, Signal::TERM);
+        }
+        for g in 0..self.setup.gateways {
+            if self.is_up(g) {
+                self.end(g);
+            }
+            let panics = self.seats[g].log.all().into_iter().filter(|line| line.contains("panicked"));
+            self.crashes.extend(panics.map(|line| format!("n{g}: {line}")));
+        }
+    }
+
+    /// Microseconds of processor time that gateways which run now have used.
+    pub fn cpu(&self) -> u64 {
+        let used = |child: &Child| {
+            let text = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).ok()?;
+            let rest = text.rsplit_once(')')?.1.split_whitespace().collect::<Vec<_>>();
+            let ticks = rest.get(11)?.parse::<u64>().ok()? + rest.get(12)?.parse::<u64>().ok()?;
+            Some(ticks * 10_000)
+        };
+        self.seats.iter().filter_map(|seat| used(seat.child.as_ref()?)).sum()
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for g in 0..self.seats.len() {
+            self.kill(g);
+            let _ = std::fs::remove_file(&self.seats[g].config);
+            if let Some(own) = &self.seats[g].own {
+                let _ = std::fs::remove_file(own);
+            }
+        }
+        (0..self.engines.len()).for_each(|e| self.kill_engine(e));
+    }
+}
--- /dev/null
+++ b/crates/ivypitch-lab/src/processes/relay.rs
@@ -0,0 +1,335 @@
+//! Links between processes. Each way from one end to another has a relay of its own on loopback, which passes on what
+//! comes, or does to it what the fault plan says: nothing arrives, late, slowly, some datagrams not at all, or the
+//! link breaks, in the middle of a message where that is asked for.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::rc::Rc;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use event_listener::Event;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use smol::channel::{self, Receiver, Sender};
+use smol::future::FutureExt;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
+use smol::{Async, LocalExecutor, Timer};
+
+use crate::stand_ins::Seen;
+
+/// Where a link begins or ends.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum End {
+    Gateway(usize),
+    Engine(usize),
+    Journal,
+}
+
+/// What is wrong with one way.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Way {
+    /// So many faults at once say that nothing arrives.
+    pub silent: u32,
+    pub late: Duration,
+    /// Up to so much later still, drawn for each piece.
+    pub spread: Duration,
+    /// Part of the datagrams that are lost.
+    pub drop: f64,
+    /// Bytes a second; 0: as fast as they come.
+    pub slow: u64,
+    /// How often its links were broken.
+    resets: u64,
+    /// The next piece goes half, then the link breaks.
+    torn: bool,
+    pub bytes: u64,
+    pub datagrams: u64,
+}
+
+const PIECE: usize = 16 << 10;
+const SLOW_PIECE: usize = 512;
+/// Pieces that wait for their time on one way of one connection.
+const MOST_LATE: usize = 64;
+const CONNECT: Duration = Duration::from_secs(1);
+
+type Ways = BTreeMap<(End, End), Way>;
+
+struct Shared {
+    ways: Mutex<Ways>,
+    changed: Event,
+    /// Pieces that came while their way was silent.
+    stuck: Seen<(End, End)>,
+}
+
+impl Shared {
+    fn ways(&self) -> MutexGuard<'_, Ways> {
+        self.ways.lock().unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn way(&self, from: End, to: End) -> Way {
+        self.ways().get(&(from, to)).copied().unwrap_or_default()
+    }
+
+    async fn until(&self, from: End, to: End, is: impl Fn(&Way) -> bool) {
+        loop {
+            let changed = self.changed.listen();
+            if is(&self.way(from, to)) {
+                return;
+            }
+            changed.await;
+        }
+    }
+}
+
+struct Opened {
+    from: End,
+    to: End,
+    target: SocketAddr,
+    listener: TcpListener,
+    datagrams: Option<UdpSocket>,
+}
+
+/// All relays of a run. Their thread ends with it.
+pub struct Net {
+    shared: Arc<Shared>,
+    opened: Sender<Opened>,
+}
+
+impl Net {
+    pub fn start(seed: u64) -> Net {
+        let shared = Arc::new(Shared { ways: Mutex::default(), changed: Event::new(), stuck: Seen::new() });
+        let (opened, to_open) = channel::unbounded();
+        let on = shared.clone();
+        thread::spawn(move || {
+            let executor = Rc::new(LocalExecutor::new());
+            smol::block_on(executor.clone().run(serve(on, to_open, executor, seed)))
+        });
+        Net { shared, opened }
+    }
+
+    /// The address under which `from` reaches `to`, which listens at `target`.
+    pub fn open(&self, from: End, to: End, target: SocketAddr, datagrams: bool) -> io::Result<SocketAddr> {
+        loop {
+            let listener = TcpListener::bind("127.0.0.1:0")?;
+            let address = listener.local_addr()?;
+            let socket = match datagrams {
+                // The other kind of that port may be taken: another one then.
+                true => match UdpSocket::bind(address) {
+                    Ok(socket) => Some(socket),
+                    Err(_) => continue,
+                },
+                false => None,
+            };
+            let opened = Opened { from, to, target, listener, datagrams: socket };
+            let _ = self.opened.try_send(opened);
+            return Ok(address);
+        }
+    }
+
+    pub fn way(&self, from: End, to: End) -> Way {
+        self.shared.way(from, to)
+    }
+
+    pub fn change(&self, from: End, to: End, change: impl FnOnce(&mut Way)) {
+        change(self.shared.ways().entry((from, to)).or_default());
+        self.shared.changed.notify(usize::MAX);
+    }
+
+    /// Nothing arrives from one at the other; what is written waits as in a network's buffers.
+    pub fn silence(&self, from: End, to: End) {
+        self.change(from, to, |way| way.silent += 1);
+    }
+
+    pub fn hear(&self, from: End, to: End) {
+        self.change(from, to, |way| way.silent = way.silent.saturating_sub(1));
+    }
+
+    /// All links between the two break; what waits on them is lost.
+    pub fn reset(&self, a: End, b: End) {
+        for (from, to) in [(a, b), (b, a)] {
+            self.change(from, to, |way| way.resets += 1);
+        }
+    }
+
+    /// The next piece from one to the other is cut in two, and the link breaks behind its first half.
+    pub fn tear(&self, from: End, to: End) {
+        self.change(from, to, |way| way.torn = true);
+    }
+
+    /// Returns once something has come for a way that is silent.
+    pub fn wait_stuck(&self, from: End, to: End) {
+        self.shared.stuck.wait("piece on a silent way", |ends| *ends == (from, to));
+    }
+
+    /// Bytes and datagrams passed on between gateways.
+    pub fn between_gateways(&self) -> (u64, u64) {
+        let ways = self.shared.ways();
+        let among =
+            ways.iter().filter(|((a, b), _)| matches!(a, End::Gateway(_)) && matches!(b, End::Gateway(_)));
+        among.fold((0, 0), |(bytes, datagrams), (_, way)| (bytes + way.bytes, datagrams + way.datagrams))
+    }
+}
+
+async fn serve(
+    shared: Arc<Shared>,
+    to_open: Receiver<Opened>,
+    executor: Rc<LocalExecutor<'static>>,
+    seed: u64,
+) {
+    let mut serial = seed;
+    while let Ok(Opened { from, to, target, listener, datagrams }) = to_open.recv().await {
+        serial = serial.wrapping_add(1);
+        if let Some(socket) = datagrams.and_then(|socket| Async::new(socket).ok()) {
+            let task = pass_datagrams(shared.clone(), from, to, target, socket, executor.clone(), serial);
+            executor.spawn(task).detach();
+        }
+        let Ok(listener) = Async::new(listener) else { continue };
+        let (on, shared) = (executor.clone(), shared.clone());
+        let task = async move {
+            let mut serial = serial << 20;
+            while let Ok((stream, _)) = listener.accept().await {
+                serial += 1;
+                on.spawn(pass(shared.clone(), from, to, target, stream, serial)).detach();
+            }
+        };
+        executor.spawn(task).detach();
+    }
+}
+
+async fn pass_datagrams(
+    shared: Arc<Shared>,
+    from: End,
+    to: End,
+    target: SocketAddr,
+    socket: Async<UdpSocket>,
+    executor: Rc<LocalExecutor<'static>>,
+    seed: u64,
+) {
+    let socket = Rc::new(socket);
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut datagram = [0; 4096];
+    loop {
+        let Ok((n, _)) = socket.recv_from(&mut datagram).await else { continue };
+        let way = shared.way(from, to);
+        if way.silent > 0 || rng.random_bool(way.drop) {
+            continue;
+        }
+        if let Some(way) = shared.ways().get_mut(&(from, to)) {
+            way.bytes += n as u64;
+            way.datagrams += 1;
+        }
+        let after = way.late + way.spread.mul_f64(rng.random());
+        if after.is_zero() {
+            let _ = socket.send_to(&datagram[..n], target).await;
+            continue;
+        }
+        let (socket, data) = (socket.clone(), datagram[..n].to_vec());
+        let task = async move {
+            Timer::after(after).await;
+            let _ = socket.send_to(&data, target).await;
+        };
+        executor.spawn(task).detach();
+    }
+}
+
+/// One connection, until either end or the plan ends it.
+async fn pass(
+    shared: Arc<Shared>,
+    from: End,
+    to: End,
+    target: SocketAddr,
+    stream: Async<TcpStream>,
+    seed: u64,
+) {
+    shared.ways().entry((from, to)).or_default();
+    shared.ways().entry((to, from)).or_default();
+    let before = shared.way(from, to).resets;
+    let _ = stream.get_ref().set_nodelay(true);
+    let connect = async { Async::<TcpStream>::connect(target).await.ok() };
+    let late = async {
+        Timer::after(CONNECT).await;
+        None
+    };
+    let Some(other) = connect.or(late).await else { return break_off(&stream) };
+    let _ = other.get_ref().set_nodelay(true);
+    let there = carry(&shared, (from, to), &stream, &other, seed);
+    let back = carry(&shared, (to, from), &other, &stream, seed ^ 1);
+    let whole = async {
+        let (there, back) = smol::future::zip(there, back).await;
+        there.is_ok() && back.is_ok()
+    };
+    let broken = async {
+        shared.until(from, to, |way| way.resets != before).await;
+        false
+    };
+    if !whole.or(broken).await {
+        break_off(&stream);
+        break_off(&other);
+    }
+}
+
+/// Closed so that the other end sees it broken, not ended.
+fn break_off(stream: &Async<TcpStream>) {
+    let _ = rustix::net::sockopt::set_socket_linger(stream.get_ref(), Some(Duration::ZERO));
+}
+
+/// One way of one connection. An error breaks both.
+async fn carry(
+    shared: &Shared,
+    (from, to): (End, End),
+    source: &Async<TcpStream>,
+    sink: &Async<TcpStream>,
+    seed: u64,
+) -> io::Result<()> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let (pieces, due) = channel::bounded::<(Instant, Vec<u8>)>(MOST_LATE);
+    let reading = async move {
+        let mut last = Instant::now();
+        let mut piece = vec![0; PIECE];
+        loop {
+            let n = (&*source).read(&mut piece).await?;
+            if n == 0 {
+                return Ok(());
+            }
+            let way = shared.way(from, to);
+            if way.silent > 0 {
+                shared.stuck.push((from, to));
+            }
+            // Nothing overtakes on one connection.
+            last = last.max(Instant::now() + way.late + way.spread.mul_f64(rng.random()));
+            if pieces.send((last, piece[..n].to_vec())).await.is_err() {
+                return Ok(());
+            }
+        }
+    };
+    let writing = async {
+        while let Ok((at, piece)) = due.recv().await {
+            if at > Instant::now() {
+                Timer::at(at).await;
+            }
+            shared.until(from, to, |way| way.silent == 0).await;
+            let (torn, slow) = {
+                let mut ways = shared.ways();
+                let way = ways.entry((from, to)).or_default();
+                way.bytes += piece.len() as u64;
+                (std::mem::take(&mut way.torn), way.slow)
+            };
+            if torn {
+                (&*sink).write_all(&piece[..piece.len() / 2]).await?;
+                return Err(io::ErrorKind::ConnectionReset.into());
+            }
+            for part in piece.chunks(if slow > 0 { SLOW_PIECE } else { PIECE }) {
+                (&*sink).write_all(part).await?;
+                if slow > 0 {
+                    Timer::after(Duration::from_secs_f64(part.len() as f64 / slow as f64)).await;
+                }
+            }
+        }
+        shared.until(from, to, |way| way.silent == 0).await;
+        (&*sink).close().await
+    };
+    let (read, written) = smol::future::zip(reading, writing).await;
+    read.and(written)
+}
--- /dev/null
+++ b/crates/ivypitch-lab/src/processes/story.rs
@@ -0,0 +1,176 @@
+//! The verdict on a run of processes: what engines counted laid beside what clients heard. No promise is taken from a
+//! gateway's own word.
+
+use std::collections::BTreeMap;
+
+use super::clients::{Ask, Heard, Story};
+use super::{Done, Said};
+use crate::faults::What;
+
+/// What a run came to.
+#[derive(Clone, Debug, Default, serde::Serialize)]
+pub struct Verdict {
+    pub statements: u64,
+    pub loads: u64,
+    pub starts: u64,
+    /// Loads started more than once under one id.
+    pub doubled: u64,
+    /// Loads whose clients heard that nothing ran, though it did.
+    pub refused_and_ran: u64,
+    /// Clients that heard two ends that can't both be, or rows of another statement.
+    pub two_ends: u64,
+    /// A gateway that was there all the time left its client without a word.
+    pub silent: u64,
+    pub served: u64,
+    /// Not served, by the last word heard.
+    pub unserved: BTreeMap<String, u64>,
+    /// Statements that ran at an engine as their gateway was lost and whose client came back: all, and those that
+    /// completed without running again.
+    pub caught: u64,
+    pub carried: u64,
+    /// Milliseconds from a loss to the first question to the engine by another gateway.
+    pub first_ask_p50: u64,
+    pub first_ask_p99: u64,
+    pub crashes: Vec<String>,
+    pub p50_ms: u64,
+    pub p99_ms: u64,
+    /// What broke a promise, one line each.
+    pub broken: Vec<String>,
+}
+
+impl Verdict {
+    pub fn holds(&self) -> bool {
+        self.doubled + self.refused_and_ran + self.two_ends + self.silent == 0 && self.crashes.is_empty()
+    }
+
+    pub fn service(&self) -> f64 {
+        self.served as f64 / self.statements.max(1) as f64
+    }
+}
+
+const MOST_LINES: usize = 20;
+/// A gateway's word comes no later than so long after its client's time.
+const SLACK: u64 = 400_000;
+
+/// `longest`: microseconds that a loss may still be told of after it happened.
+pub fn judge(asks: &[Ask], stories: &[Story], said: &[Said], done: &[Done], crashes: &[String]) -> Verdict {
+    let mut verdict =
+        Verdict { statements: asks.len() as u64, crashes: crashes.to_vec(), ..Verdict::default() };
+    let mut by_id: BTreeMap<&str, Vec<&Said>> = BTreeMap::new();
+    for line in said.iter().filter(|line| line.what != "ready") {
+        by_id.entry(line.id.as_str()).or_default().push(line);
+    }
+    let away = away(done);
+    let was_away = |g: usize, from: u64, to: u64| {
+        away.iter().any(|&(gateway, begins, ends)| gateway == g && begins <= to && from <= ends)
+    };
+    let losses = losses(done);
+    let mut asked_after = Vec::new();
+    let mut times = Vec::new();
+    for (ask, story) in asks.iter().zip(stories) {
+        let mut broken = |what: &str, id: u64| {
+            if verdict.broken.len() < MOST_LINES {
+                verdict.broken.push(format!("{what}: {id:016x} {:?}", story.visits));
+            }
+        };
+        verdict.loads += u64::from(ask.load);
+        let mut ids: Vec<u64> = story.visits.iter().map(|v| v.req).collect();
+        ids.dedup();
+        for req in ids {
+            let text = format!("{req:016x}");
+            let lines = by_id.get(text.as_str()).map_or(&[][..], Vec::as_slice);
+            let starts = lines.iter().filter(|l| l.what == "start").count() as u64;
+            verdict.starts += starts;
+            if ask.load && starts > 1 {
+                verdict.doubled += 1;
+                broken("started twice", req);
+            }
+            let words = || story.visits.iter().filter(|v| v.req == req);
+            let refused = words().any(|v| v.heard == Heard::Refused);
+            if ask.load && refused && starts > 0 {
+                verdict.refused_and_ran += 1;
+                broken("refused and ran", req);
+            }
+            let second = story.second.iter().filter(|v| v.req == req);
+            let ended = |v: &&super::clients::Visit| matches!(v.heard, Heard::Rows(_) | Heard::Completed);
+            let no_end =
+                |v: &super::clients::Visit| matches!(v.heard, Heard::Refused | Heard::Unknown) && ask.load;
+            let wrong = |v: &super::clients::Visit| matches!(&v.heard, Heard::Rows(row) if *row != text);
+            let both = words().any(|v| ended(&v)) && second.clone().any(no_end);
+            if both || words().chain(second).any(wrong) {
+                verdict.two_ends += 1;
+                broken("two ends, or another's rows", req);
+            }
+            // Running at an engine as the gateway that had started it, or asked last, was lost.
+            for &(gateway, at) in &losses {
+                let running = |l: &&&Said| l.at < at && matches!(l.what.as_str(), "start" | "ask");
+                let Some(last) = lines.iter().rfind(running).filter(|l| l.by == gateway) else {
+                    continue;
+                };
+                let over =
+                    |l: &&Said| l.at < at && matches!(l.what.as_str(), "end" | "fail" | "drop" | "stop");
+                let back = words().any(|v| v.begun > at);
+                if lines.iter().any(over) || last.at > at || !back {
+                    continue;
+                }
+                verdict.caught += 1;
+                let again = lines.iter().filter(|l| l.what == "start" && l.at >= at).count();
+                verdict.carried += u64::from(again == 0 && story.served.is_some());
+                let ask = lines.iter().find(|l| l.what == "ask" && l.at >= at);
+                asked_after.extend(ask.map(|l| (l.at - at) / 1000));
+            }
+        }
+        for visit in story.visits.iter().filter(|v| v.heard == Heard::Silence) {
+            let by = story.visits.first().map_or(0, |v| v.begun) + ask.timeout_ms * 1000;
+            if visit.ended > by + SLACK && !was_away(visit.gateway, visit.begun, visit.ended) {
+                verdict.silent += 1;
+                broken("no word from a gateway that was there", visit.req);
+            }
+        }
+        match story.served {
+            Some(time) => {
+                verdict.served += 1;
+                times.push(time / 1000);
+            }
+            None => {
+                let last = story.visits.last().map_or("never asked".to_owned(), |v| format!("{:?}", v.heard));
+                *verdict.unserved.entry(last).or_default() += 1;
+            }
+        }
+    }
+    asked_after.sort_unstable();
+    times.sort_unstable();
+    let at = |all: &[u64], part: f64| {
+        let last = all.len().saturating_sub(1);
+        all.get((last as f64 * part).round() as usize).copied().unwrap_or(0)
+    };
+    (verdict.first_ask_p50, verdict.first_ask_p99) = (at(&asked_after, 0.5), at(&asked_after, 0.99));
+    (verdict.p50_ms, verdict.p99_ms) = (at(&times, 0.5), at(&times, 0.99));
+    verdict
+}
+
+/// When which gateway was killed, or stopped for so long that others take it for lost.
+fn losses(done: &[Done]) -> Vec<(usize, u64)> {
+    let lost = |done: &Done| match done.fault.what {
+        What::Kill { gateway, .. } => Some((gateway, done.at)),
+        What::Stop { gateway, span } if span >= 2000 => Some((gateway, done.at)),
+        _ => None,
+    };
+    done.iter().filter_map(lost).collect()
+}
+
+/// Gateways that were not there, from and until when; links that failed count for both of their ends.
+fn away(done: &[Done]) -> Vec<(usize, u64, u64)> {
+    let mut away = Vec::new();
+    for done in done {
+        let until = done.at + (done.fault.span().unwrap_or(0) + 1500) * 1000;
+        let whose: Vec<usize> = match done.fault.what {
+            What::Kill { gateway, .. } | What::Stop { gateway, .. } | What::End { gateway, .. } => {
+                vec![gateway]
+            }
+            _ => Vec::new(),
+        };
+        away.extend(whose.into_iter().map(|g| (g, done.at, until)));
+    }
+    away
+}
--- a/crates/ivypitch-lab/src/sockets.rs
+++ b/crates/ivypitch-lab/src/sockets.rs
@@ -211,25 +211,25 @@
     }
 }
 
-struct Call {
-    method: String,
-    path: String,
+pub(crate) struct Call {
+    pub method: String,
+    pub path: String,
     headers: Vec<(String, String)>,
-    body: String,
+    pub body: String,
 }
 
 impl Call {
-    fn header(&self, name: &str) -> String {
+    pub fn header(&self, name: &str) -> String {
         let found = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name));
         found.map_or(String::new(), |(_, value)| value.clone())
     }
 }
 
-fn answer(status: u16, headers: &str, body: &str) -> String {
+pub(crate) fn answer(status: u16, headers: &str, body: &str) -> String {
     format!("HTTP/1.1 {status} X\r\n{headers}Content-Length: {}\r\n\r\n{body}", body.len())
 }
 
-async fn next_call(stream: &Async<TcpStream>, input: &mut BytesMut) -> io::Result<Option<Call>> {
+pub(crate) async fn next_call(stream: &Async<TcpStream>, input: &mut BytesMut) -> io::Result<Option<Call>> {
     loop {
         let mut headers = [httparse::EMPTY_HEADER; 32];
         let mut request = httparse::Request::new(&mut headers);
@@ -303,12 +303,20 @@
 
 // ---- clients ----
 
-struct Session {
+pub(crate) struct Session {
     stream: Async<TcpStream>,
     input: BytesMut,
     used: Instant,
 }
 
+/// The answer to a statement as a client reads it.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Reply {
+    /// The payloads of its rows.
+    Rows(Vec<bytes::Bytes>),
+    Error(u16, String),
+}
+
 enum Answered {
     Rows,
     /// Refused; when to come back.
@@ -317,7 +325,7 @@
 }
 
 impl Session {
-    async fn open(address: SocketAddr) -> io::Result<Session> {
+    pub async fn open(address: SocketAddr) -> io::Result<Session> {
         let stream = Async::<TcpStream>::connect(address).await?;
         stream.get_ref().set_nodelay(true)?;
         let mut session = Session { stream, input: BytesMut::new(), used: Instant::now() };
@@ -342,32 +350,41 @@
     }
 
     async fn ask(&mut self, text: &str) -> io::Result<Answered> {
+        Ok(match self.reply(text).await? {
+            Reply::Rows(_) => Answered::Rows,
+            Reply::Error(1040 | 1203 | 1226, text) => Answered::Refused(holdoff_ms(&text) * MS),
+            Reply::Error(..) => Answered::Failed,
+        })
+    }
+
+    pub async fn reply(&mut self, text: &str) -> io::Result<Reply> {
         (&self.stream).write_all(&query(text)).await?;
-        let mut ends = 0;
+        let (mut rows, mut ends) = (Vec::new(), 0);
         loop {
             let payload = self.packet().await?;
             match payload.first() {
-                Some(0xff) => {
+                Some(0xff) if payload.len() >= 3 => {
                     let code = u16::from_le_bytes([payload[1], payload[2]]);
-                    let text = String::from_utf8_lossy(&payload[3..]);
-                    let after = text.split("holdoff=").nth(1).and_then(|n| n.trim().parse::<u64>().ok());
-                    return Ok(match code {
-                        1040 | 1203 | 1226 => Answered::Refused(after.unwrap_or(0) * MS),
-                        _ => Answered::Failed,
-                    });
+                    return Ok(Reply::Error(code, String::from_utf8_lossy(&payload[3..]).into_owned()));
                 }
                 Some(0xfe) if payload.len() < 9 => {
                     ends += 1;
                     if ends == 2 {
-                        return Ok(Answered::Rows);
+                        return Ok(Reply::Rows(rows));
                     }
                 }
+                _ if ends == 1 => rows.push(payload),
                 _ => {}
             }
         }
     }
 }
 
+/// When a refused client is to come back, in milliseconds; 0 where it is not told.
+pub(crate) fn holdoff_ms(text: &str) -> u64 {
+    text.split("holdoff=").nth(1).and_then(|n| n.trim().parse().ok()).unwrap_or(0)
+}
+
 #[derive(Clone, Copy, Default)]
 struct Told {
     tries: u32,
