Hard cases of takeover as tests of several processes; parts of a fleet that never met

Seen: 30 gateways started one by one stayed in parts of 14 and 8 for a minute: seats were asked only while nobody was heard. Seats that are not heard are asked as long as there are any.

--- a/crates/ivypitch-command/tests/takeover.rs
+++ b/crates/ivypitch-command/tests/takeover.rs
@@ -1,185 +1,493 @@
-//! Work in hand outlives its gateway: several real gateways on loopback that talk, one of which is lost.
+//! Work in hand outlives its gateway: fleets of real gateways on loopback that talk, with a relay on every link, of
+//! which some are lost, stopped or cut off. Engines count the starts, clients tell what they heard.
 
-use std::collections::HashMap;
-use std::net::{TcpListener, UdpSocket};
-use std::sync::{Arc, Mutex};
+use std::io::{Read, Write};
+use std::net::{TcpStream, UdpSocket};
 
+use ivypitch_custody::{VERSION, Witnesses};
+use ivypitch_lab::processes::relay::End;
+use ivypitch_lab::processes::{Engines, Fleet, Setup};
 use ivypitch_lab::stand_ins::*;
+use ivypitch_members::{Members, Roster, Seat, Terms};
+use rustix::process::Signal;
+use test_case::test_case;
 
-/// An engine whose queries end when the test says so; it counts starts by id.
-struct Held {
-    engine: Engine,
-    over: Arc<Mutex<HashMap<String, bool>>>,
+const ENGINE: End = End::Engine(0);
+
+fn gateway(g: usize) -> End {
+    End::Gateway(g)
 }
 
-fn id_of(call: &Call) -> String {
-    call.header("Via-Id").or(call.path.split('/').nth(2)).unwrap_or_default().to_owned()
+/// Of each statement's time, in milliseconds.
+const LONGEST: u64 = 6000;
+/// Patient enough that nobody is taken for lost because the machine is busy.
+const PEERS: &str = r#""period_ms":200,"suspicion_ms":700,"custody":{"remembered_ms":400,"asks_from_ms":0}"#;
+const SLOW_PEERS: &str =
+    r#""period_ms":500,"suspicion_ms":1500,"custody":{"remembered_ms":400,"asks_from_ms":0}"#;
+
+fn fleet(gateways: usize, held: &[&Held], peers: &str) -> Fleet {
+    let engines = Engines::At(held.iter().map(|held| held.addresses.clone()).collect());
+    let peers = Some(peers.to_owned());
+    Fleet::start(Setup { gateways, engines, peers, longest_ms: LONGEST, ..Setup::default() }).unwrap()
 }
 
-impl Held {
-    fn start() -> Held {
-        let over: Arc<Mutex<HashMap<String, bool>>> = Arc::default();
-        let known = over.clone();
-        let engine = Engine::start(move |call, _| {
-            let id = id_of(call);
-            let mut known = known.lock().unwrap();
-            if call.is("POST") {
-                known.entry(id.clone()).or_insert(false);
-            }
-            match known.get(&id) {
-                _ if call.is("DELETE") => {
-                    known.remove(&id);
-                    say(204, "", "")
-                }
-                Some(true) => good(&format!("{id}\tb\tc\n")),
-                Some(false) => say(202, "", ""),
-                None => say(500, "", ""),
-            }
-        });
-        Held { engine, over }
-    }
+struct Scene {
+    fleet: Fleet,
+    held: Held,
+}
 
-    fn end(&self, req: u64) {
-        self.over.lock().unwrap().insert(format!("{req:016x}"), true);
-    }
+/// Gateways before one engine whose queries end when the test says so.
+fn scene(gateways: usize) -> Scene {
+    scene_of(gateways, PEERS)
+}
 
-    /// Starts of this id.
-    fn starts(&self, req: u64) -> usize {
-        let id = format!("{req:016x}");
-        self.engine.calls.all().iter().filter(|c| c.is("POST") && c.header("Via-Id") == Some(&id)).count()
-    }
+fn scene_of(gateways: usize, peers: &str) -> Scene {
+    let held = Held::start(gateways);
+    let fleet = fleet(gateways, &[&held], peers);
+    Scene { fleet, held }
 }
 
-/// A port that is free for both kinds of socket.
-fn free_address() -> String {
-    loop {
-        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-        let address = listener.local_addr().unwrap();
-        if UdpSocket::bind(address).is_ok() {
-            return address.to_string();
+impl Scene {
+    /// The same once witnesses vote: those that began lately do not.
+    fn voting(self) -> Scene {
+        for g in 0..self.fleet.setup.gateways {
+            ask_until_votes(&self.fleet, g);
         }
+        self
     }
-}
 
-struct Fleet {
-    gateways: Vec<Gateway>,
-    own: String,
-    rows: Vec<String>,
-}
-
-/// The settings of the stand-ins with times short enough that witnesses vote soon after their start.
-fn short(config: String) -> String {
-    config.replace("\"give-up-ns\":20000000000", "\"give-up-ns\":4000000000")
-}
-
-impl Fleet {
-    fn start(count: usize, engines: &[&Engine]) -> Fleet {
-        let addresses: Vec<String> = (0..count).map(|_| free_address()).collect();
-        let list: Vec<String> = addresses
-            .iter()
-            .enumerate()
-            .map(|(i, a)| format!(r#"{{"name":"n{i}","zone":"z{}","address":"{a}"}}"#, i % 3))
-            .collect();
-        let own = format!(
-            r#"{{"peers":{{"gateways":[{}],"custody":{{"remembered_ms":400,"asks_from_ms":0}}}}}}"#,
-            list.join(",")
-        );
-        let rows: Vec<String> =
-            engines.iter().enumerate().map(|(i, e)| e.row(&format!("s-{i}"), "in_service")).collect();
-        let mut fleet = Fleet { gateways: Vec::new(), own, rows };
-        for i in 0..count {
-            let gateway = fleet.one(i);
-            fleet.gateways.push(gateway);
-        }
-        for gateway in &fleet.gateways {
-            gateway.log.wait_for("members", count - 1, |l| l.contains("is up"));
-        }
-        fleet
+    fn client(&self, g: usize) -> Client {
+        Client::at(self.fleet.seats[g].address)
+    }
+
+    /// A client that has sent its statement and waits.
+    fn sent(&self, g: usize, kind: &str, req: u64) -> Client {
+        let mut client = self.client(g);
+        client.send(&query(&statement(kind, req, LONGEST)));
+        client
     }
 
-    fn one(&self, i: usize) -> Gateway {
-        let named = |config: String| short(config).replace("\"name\":\"n0\"", &format!("\"name\":\"n{i}\""));
-        Gateway::owned(&self.rows, named, Some(&self.own))
+    /// A load whose execution runs, sent by this gateway.
+    fn running(&self, g: usize, req: u64) -> Client {
+        let client = self.sent(g, "load", req);
+        assert_eq!(self.held.wait_start(req), g);
+        client
+    }
+
+    fn wait_lost(&self, at: usize, lost: usize) {
+        self.fleet.seats[at].log.wait("loss", |l| l.contains(&format!("member n{lost} is lost")));
     }
 }
 
-/// Asked again until the witnesses vote: those that began lately give no votes.
-fn ask_until_votes(gateway: &Gateway, from: u64) {
-    for req in from.. {
-        let answer = Client::connect(gateway).ask(&statement("load", req, 4000));
+fn ask_until_votes(fleet: &Fleet, g: usize) {
+    for req in (1 << 32) + (g as u64) * 1000.. {
+        let answer = Client::at(fleet.seats[g].address).ask(&statement("load", req, LONGEST));
         if matches!(answer, Answer::Rows(_)) {
             return;
         }
-        assert!(req < from + 400, "{answer:?}");
+        assert!(req % 1000 < 900, "{answer:?}");
         std::thread::sleep(std::time::Duration::from_millis(50));
     }
 }
 
+fn rows(req: u64) -> Answer {
+    Answer::Rows(vec![vec![format!("{req:016x}"), "b".into(), "c".into()]])
+}
+
+/// An id whose witnesses, the first in rank first, are as wanted.
+fn id_where(gateways: usize, is: impl Fn(&[u16]) -> bool) -> (u64, Vec<u16>) {
+    let witnesses = Witnesses::new((0..gateways as u16).map(|g| g % 3).collect(), 5);
+    let found = (1..10_000).map(|id| (id, witnesses.of(id))).find(|(_, all)| is(all));
+    found.unwrap()
+}
+
 #[test]
-fn a_load_outlives_its_gateway_and_its_client_gets_the_rows_at_another() {
-    let held = Held::start();
-    for req in 1000..1400 {
-        held.end(req);
-    }
-    let mut fleet = Fleet::start(5, &[&held.engine]);
-    ask_until_votes(&fleet.gateways[0], 1000);
-    let mut client = Client::connect(&fleet.gateways[0]);
-    client.send(&query(&statement("load", 1, 4000)));
-    held.engine.calls.wait("start", |c| c.is("POST") && c.header("Via-Id") == Some("0000000000000001"));
-    fleet.gateways[0].kill();
+fn a_load_outlives_its_gateway_and_clients_get_its_rows_anywhere() {
+    let mut s = scene(5).voting();
+    s.running(0, 1);
+    s.fleet.kill(0);
     // It comes back before the loss is known, twice at once at two gateways.
-    let mut back = Client::connect(&fleet.gateways[1]);
-    let mut also = Client::connect(&fleet.gateways[2]);
-    back.send(&query(&statement("load", 1, 4000)));
-    also.send(&query(&statement("load", 1, 4000)));
-    fleet.gateways[1].log.wait("loss", |l| l.contains("member n0 is lost"));
-    held.end(1);
-    let rows = Answer::Rows(vec![vec![format!("{:016x}", 1), "b".into(), "c".into()]]);
-    assert_eq!(back.answer(1), rows);
-    assert_eq!(also.answer(1), rows);
+    let (mut back, mut also) = (s.sent(1, "load", 1), s.sent(2, "load", 1));
+    s.wait_lost(1, 0);
+    s.held.end(1);
+    assert_eq!(back.answer(1), rows(1));
+    assert_eq!(also.answer(1), rows(1));
     // Later, anywhere, the same; and another statement under the id is refused.
-    assert_eq!(Client::connect(&fleet.gateways[3]).ask(&statement("load", 1, 4000)), rows);
-    assert_eq!(held.starts(1), 1, "it ran once");
+    assert_eq!(s.client(3).ask(&statement("load", 1, LONGEST)), rows(1));
+    assert_eq!(s.client(4).ask(&statement("lookup", 1, LONGEST)).code(), 1062);
+    assert_eq!(s.held.starts(1), 1, "it ran once");
+}
+
+#[test]
+fn two_clients_at_two_gateways_at_the_instant_of_the_claim_hear_the_same() {
+    let mut s = scene(5).voting();
+    s.running(0, 1);
+    s.fleet.kill(0);
+    s.wait_lost(3, 0);
+    let (mut one, mut other) = (s.sent(3, "load", 1), s.sent(4, "load", 1));
+    s.held.wait_ask(1, 0, &[0]);
+    s.held.end(1);
+    assert_eq!((one.answer(1), other.answer(1)), (rows(1), rows(1)));
+    assert_eq!(s.held.starts(1), 1);
+}
+
+#[test_case("load", 1105, 0; "a load is in doubt and not sent")]
+#[test_case("lookup", 0, 1; "a lookup runs at another")]
+fn killed_after_the_grant_and_before_the_engine_hears(kind: &str, code: u16, starts: usize) {
+    let mut s = scene(5).voting();
+    s.fleet.net.silence(gateway(0), ENGINE);
+    let _client = s.sent(0, kind, 1);
+    s.fleet.net.wait_stuck(gateway(0), ENGINE);
+    s.fleet.kill(0);
+    // What was on its way is lost.
+    s.fleet.net.reset(gateway(0), ENGINE);
+    s.fleet.net.hear(gateway(0), ENGINE);
+    s.held.end(2);
+    let mut back = s.sent(1, kind, 1);
+    if kind == "lookup" {
+        assert_ne!(s.held.wait_start(1), 0);
+        s.held.end(1);
+    }
+    let answer = back.answer(1);
+    assert_eq!(answer.code(), code, "{answer:?}");
+    assert_eq!(s.held.starts(1), starts);
+}
+
+#[test]
+fn killed_after_the_send_and_before_the_engines_first_word() {
+    let mut s = scene(5).voting();
+    s.held.mute_starts(true);
+    s.running(0, 1);
+    s.fleet.kill(0);
+    s.held.wait_ask(1, 0, &[0]);
+    s.held.end(1);
+    assert_eq!(s.client(2).ask(&statement("load", 1, LONGEST)), rows(1));
+    assert_eq!(s.held.starts(1), 1);
+}
+
+#[test]
+fn killed_while_pages_are_fetched() {
+    let mut s = scene(5).voting();
+    let pages: Vec<String> = (0..3).map(|page| format!("{page}\tb\tc\n")).collect();
+    s.held.mute_pages(true);
+    s.running(0, 1);
+    s.held.end_with(1, pages);
+    s.held.wait_ask(1, 1, &[]);
+    s.fleet.kill(0);
+    s.held.mute_pages(false);
+    let all = (0..3).map(|page| vec![page.to_string(), "b".into(), "c".into()]).collect();
+    assert_eq!(s.client(1).ask(&statement("load", 1, LONGEST)), Answer::Rows(all));
+    assert_eq!(s.held.starts(1), 1);
+}
+
+#[test]
+fn killed_while_the_answer_is_half_written() {
+    let mut s = scene(5).voting();
+    let long = "x".repeat(5_000);
+    let pages: Vec<String> = (0..8).map(|page| format!("{page}\t{long}\tc\n")).collect();
+    let client = End::Client(0);
+    let way = s.fleet.net.open(client, gateway(0), s.fleet.seats[0].address, false).unwrap();
+    let mut first = Client::at(way);
+    s.fleet.net.change(gateway(0), client, |way| way.slow = 60_000);
+    first.send(&query(&statement("load", 1, LONGEST)));
+    s.held.wait_start(1);
+    s.held.end_with(1, pages);
+    // A quarter of it has come.
+    let mut some = [0; 10_000];
+    first.stream.read_exact(&mut some).unwrap();
+    s.fleet.kill(0);
+    s.fleet.net.reset(client, gateway(0));
+    let answer = s.client(1).ask(&statement("load", 1, LONGEST));
+    let Answer::Rows(all) = answer else { panic!("{answer:?}") };
+    assert_eq!(all.iter().map(|row| row[0].clone()).collect::<String>(), "01234567");
+    assert_eq!(s.held.starts(1), 1);
+}
+
+#[test]
+fn owner_and_first_witness_lost_together() {
+    let (req, witnesses) = id_where(7, |all| !all.contains(&0));
+    let mut s = scene(7).voting();
+    s.running(0, req);
+    s.fleet.kill(0);
+    s.fleet.kill(usize::from(witnesses[0]));
+    s.held.wait_ask(req, 0, &[0]);
+    s.held.end(req);
+    assert_eq!(s.client(usize::from(witnesses[2])).ask(&statement("load", req, LONGEST)), rows(req));
+    assert_eq!(s.held.starts(req), 1);
+}
+
+#[test]
+fn owner_and_a_whole_zone_of_witnesses_lost_together() {
+    let (req, _) = id_where(7, |all| !all.contains(&0) && all.contains(&1) && all.contains(&4));
+    let mut s = scene(7).voting();
+    s.running(0, req);
+    for g in [0, 1, 4] {
+        s.fleet.kill(g);
+    }
+    s.held.wait_ask(req, 0, &[0]);
+    s.held.end(req);
+    assert_eq!(s.client(2).ask(&statement("load", req, LONGEST)), rows(req));
+    assert_eq!(s.held.starts(req), 1);
+}
+
+#[test]
+fn the_claimer_dies_and_its_claimer_too() {
+    let (req, _) = id_where(7, |all| !all.contains(&0));
+    let mut s = scene(7).voting();
+    s.running(0, req);
+    let mut lost = vec![0];
+    s.fleet.kill(0);
+    for _ in 0..2 {
+        let claimer = s.held.wait_ask(req, 0, &lost);
+        s.fleet.kill(claimer);
+        lost.push(claimer);
+    }
+    let third = s.held.wait_ask(req, 0, &lost);
+    s.held.end(req);
+    let other = (0..7).find(|g| !lost.contains(g) && *g != third).unwrap();
+    assert_eq!(s.client(other).ask(&statement("load", req, LONGEST)), rows(req));
+    assert_eq!(s.held.starts(req), 1);
+}
+
+#[test]
+fn an_owner_that_was_stopped_finds_its_send_overtaken() {
+    let mut s = scene(5).voting();
+    // Its start is on the way as it stops; the others take it over and find nothing at the engine.
+    s.fleet.net.silence(gateway(0), ENGINE);
+    let mut first = s.sent(0, "load", 1);
+    s.fleet.net.wait_stuck(gateway(0), ENGINE);
+    s.fleet.stop(0);
+    s.wait_lost(1, 0);
+    assert_eq!(s.client(1).ask(&statement("load", 1, LONGEST)).code(), 1105);
+    // It wakes, and what it had written arrives.
+    s.fleet.net.hear(gateway(0), ENGINE);
+    s.fleet.go_on(0);
+    s.fleet.seats[1].log.wait_for("return", 2, |l| l.contains("member n0 is up"));
+    s.held.end(1);
+    let answer = first.answer(1);
+    assert!(matches!(answer, Answer::Rows(_) | Answer::Error(1105, _)), "{answer:?}");
+    assert!(s.held.starts(1) <= 1, "never a second time");
+}
+
+#[test]
+fn a_statement_that_a_stopped_gateway_reads_late_is_not_run_again() {
+    let mut s = scene(5).voting();
+    let mut first = s.client(0);
+    s.fleet.stop(0);
+    // Taken by its system, read by nobody; the client goes elsewhere.
+    first.send(&query(&statement("load", 1, LONGEST)));
+    let mut back = s.sent(1, "load", 1);
+    assert_ne!(s.held.wait_start(1), 0);
+    s.held.end(1);
+    assert_eq!(back.answer(1), rows(1));
+    s.fleet.go_on(0);
+    let answer = first.answer(1);
+    assert!(answer == rows(1) || answer.code() == 1105, "{answer:?}");
+    assert_eq!(s.held.starts(1), 1);
+}
+
+#[test]
+fn a_cut_leaves_the_owner_with_its_engine_and_the_client_on_the_other_side() {
+    let s = scene(5).voting();
+    let mut first = s.running(0, 1);
+    s.fleet.cut(|a, b| a == 0 || b == 0, true);
+    s.wait_lost(1, 0);
+    s.held.wait_ask(1, 0, &[0]);
+    // Alone it sends nothing that the others may have sent.
+    let code = s.client(0).ask(&statement("load", 2, LONGEST)).code();
+    assert!([1105, 1203].contains(&code), "{code}");
+    s.held.end(1);
+    assert_eq!(s.client(1).ask(&statement("load", 1, LONGEST)), rows(1));
+    assert_eq!(first.answer(1), rows(1));
+    assert_eq!((s.held.starts(1), s.held.starts(2)), (1, 0));
+    // Healed: it sends again.
+    s.fleet.cut(|a, b| a == 0 || b == 0, false);
+    s.fleet.seats[1].log.wait_for("return", 2, |l| l.contains("member n0 is up"));
+    ask_until_votes(&s.fleet, 0);
+}
+
+#[test]
+fn a_link_that_is_silent_in_one_direction() {
+    let s = scene(5).voting();
+    let mut first = s.running(0, 1);
+    // It hears the others and is not heard.
+    s.fleet.cut(|a, _| a == 0, true);
+    s.wait_lost(1, 0);
+    s.held.wait_ask(1, 0, &[0]);
+    s.held.end(1);
+    assert_eq!(s.client(2).ask(&statement("load", 1, LONGEST)), rows(1));
+    assert_eq!(first.answer(1), rows(1));
+    assert_eq!(s.held.starts(1), 1);
+}
+
+#[test_case("load", 1105, 1; "a load is not sent again")]
+#[test_case("lookup", 0, 2; "a lookup is")]
+fn an_engine_that_restarts_between(kind: &str, code: u16, starts: usize) {
+    let mut s = scene(5).voting();
+    let _client = s.sent(0, kind, 1);
+    s.held.wait_start(1);
+    if kind == "lookup" {
+        // Until its witnesses have heard of it.
+        std::thread::sleep(std::time::Duration::from_millis(100));
+    }
+    s.fleet.kill(0);
+    s.held.forget();
+    let mut back = s.sent(1, kind, 1);
+    if kind == "lookup" {
+        s.held
+            .calls
+            .wait_for("starts", 2, |(_, c)| c.is("POST") && c.header("Via-Id") == Some("0000000000000001"));
+        s.held.end(1);
+    }
+    let answer = back.answer(1);
+    assert_eq!(answer.code(), code, "{answer:?}");
+    assert_eq!(s.held.starts(1), starts);
+}
+
+#[test]
+fn an_engine_that_drains_while_a_taken_over_load_runs() {
+    let (held, other) = (Held::start(5), Held::start(5));
+    let fleet = fleet(5, &[&held, &other], PEERS);
+    let mut s = Scene { fleet, held }.voting();
+    // Whichever engine has it.
+    let _client = s.sent(0, "load", 1);
+    let begun = |held: &Held| held.starts(1) > 0;
+    while !begun(&s.held) && !begun(&other) {
+        std::thread::yield_now();
+    }
+    let (at, here) = if begun(&s.held) { (0, &s.held) } else { (1, &other) };
+    s.fleet.kill(0);
+    here.wait_ask(1, 0, &[0]);
+    s.fleet.tell_state(at, "terminating");
+    let before = here.calls.all().len();
+    here.calls.wait_for("questions", 3, |(by, c)| c.is("GET") && *by != 0);
+    here.end(1);
+    assert_eq!(s.client(1).ask(&statement("load", 1, LONGEST)), rows(1));
+    for req in (1 << 32) + 7000..(1 << 32) + 7010 {
+        assert!(matches!(s.client(2).ask(&statement("lookup", req, LONGEST)), Answer::Rows(_)));
+    }
+    let after = here.calls.all().split_off(before);
+    assert!(!after.iter().any(|(_, c)| c.is("POST")), "nothing new goes to a draining engine");
+    assert_eq!(here.starts(1), 1);
+}
+
+#[test]
+fn a_restart_under_the_same_name_within_100_ms() {
+    let mut s = scene(5).voting();
+    s.running(0, 1);
+    s.fleet.kill(0);
+    s.fleet.start_gateway(0).unwrap();
+    // The new process has forgotten all, and is asked first.
+    let mut back = s.sent(0, "load", 1);
+    s.held.wait_ask(1, 0, &[0]);
+    s.held.end(1);
+    assert_eq!(back.answer(1), rows(1));
+    assert_eq!(s.held.starts(1), 1);
+}
+
+#[test]
+fn ten_gateways_of_thirty_killed_at_once() {
+    let mut s = scene_of(30, SLOW_PEERS).voting();
+    let witnesses = Witnesses::new((0..30).map(|g| g % 3).collect(), 5);
+    let lost = (0..10usize).collect::<Vec<_>>();
+    for &g in &lost {
+        s.running(g, 1 + g as u64);
+    }
+    for &g in &lost {
+        s.fleet.kill(g);
+    }
+    let back: Vec<Client> = lost.iter().map(|&g| s.sent(10 + g, "load", 1 + g as u64)).collect();
+    for (&g, mut back) in lost.iter().zip(back) {
+        let req = 1 + g as u64;
+        let left = witnesses.of(req).into_iter().filter(|&w| w >= 10).count();
+        if left >= 3 {
+            s.held.wait_ask(req, 0, &lost);
+            s.held.end(req);
+            assert_eq!(back.answer(1), rows(req));
+        } else {
+            // No majority of its witnesses is left: nobody may act, and it is not sent.
+            assert_eq!(back.answer(1).code(), 1105);
+        }
+        assert_eq!(s.held.starts(req), 1);
+    }
 }
 
 #[test]
 fn a_planned_stop_hands_over_what_it_cannot_end() {
-    let held = Held::start();
-    for req in 1000..1400 {
-        held.end(req);
-    }
-    let mut fleet = Fleet::start(3, &[&held.engine]);
-    ask_until_votes(&fleet.gateways[0], 1000);
-    let mut client = Client::connect(&fleet.gateways[0]);
-    client.send(&query(&statement("load", 2, 4000)));
-    held.engine.calls.wait("start", |c| c.is("POST") && c.header("Via-Id") == Some("0000000000000002"));
-    fleet.gateways[0].terminate();
-    fleet.gateways[0].log.wait("hand over", |l| l.contains("custody hands 1 statements over"));
-    held.end(2);
-    assert_eq!(fleet.gateways[0].exit_code(), Some(0));
-    let rows = Answer::Rows(vec![vec![format!("{:016x}", 2), "b".into(), "c".into()]]);
-    assert_eq!(Client::connect(&fleet.gateways[1]).ask(&statement("load", 2, 4000)), rows);
-    assert_eq!(held.starts(2), 1, "it ran once");
-    assert!(!held.engine.calls.all().iter().any(|c| c.is("DELETE") && c.path.ends_with("0000000000000002")));
+    let mut s = scene(3).voting();
+    let mut client = s.client(0);
+    client.send(&query(&statement("load", 2, LONGEST)));
+    assert_eq!(s.held.wait_start(2), 0);
+    s.fleet.signal(0, Signal::TERM);
+    s.fleet.seats[0].log.wait("hand over", |l| l.contains("custody hands 1 statements over"));
+    s.held.end(2);
+    assert_eq!(s.fleet.end(0), Some(0));
+    assert_eq!(s.client(1).ask(&statement("load", 2, LONGEST)), rows(2));
+    assert_eq!(s.held.starts(2), 1, "it ran once");
+    assert!(!s.held.calls.all().iter().any(|(_, c)| c.is("DELETE") && c.path.ends_with("0000000000000002")));
 }
 
 #[test]
 fn a_gateway_without_peers_sends_no_load_that_another_might_have_sent() {
-    let held = Held::start();
-    for req in 1000..1400 {
-        held.end(req);
-    }
-    let mut fleet = Fleet::start(3, &[&held.engine]);
-    ask_until_votes(&fleet.gateways[0], 1000);
-    fleet.gateways[1].kill();
-    fleet.gateways[2].kill();
-    fleet.gateways[0].log.wait_for("losses", 2, |l| l.contains("is lost"));
-    let mut client = Client::connect(&fleet.gateways[0]);
-    assert_eq!(client.ask(&statement("load", 3, 4000)).code(), 1105);
-    assert_eq!(held.starts(3), 0);
+    let mut s = scene(3).voting();
+    s.fleet.kill(1);
+    s.fleet.kill(2);
+    s.fleet.seats[0].log.wait_for("losses", 2, |l| l.contains("is lost"));
+    assert_eq!(s.client(0).ask(&statement("load", 3, LONGEST)).code(), 1105);
+    assert_eq!(s.held.starts(3), 0);
     // What is harmless goes on.
-    held.end(4);
-    assert!(matches!(client.ask(&statement("lookup", 4, 4000)), Answer::Rows(_)));
+    s.held.end(4);
+    assert!(matches!(s.client(0).ask(&statement("lookup", 4, LONGEST)), Answer::Rows(_)));
+}
+
+#[test]
+fn a_gateway_of_the_version_before_is_refused_with_one_line() {
+    let s = scene(3);
+    // A link whose first frame names another version.
+    let hello = |version: u16| {
+        let zones = ["z0", "z1", "z2"].map(String::from).to_vec();
+        let seat =
+            |g: usize| Seat { name: format!("n{g}"), zone: g as u16, address: s.fleet.seats[g].peers_at };
+        let roster = Roster { seats: (0..3).map(seat).collect(), zones };
+        let frame = ivypitch_gateway::wire::peers::Frame::Hello {
+            version,
+            roster: roster.mark(),
+            place: 1,
+            birth: 7,
+        };
+        (roster, ivypitch_gateway::wire::peers::write(&frame))
+    };
+    let (roster, old) = hello(VERSION - 1);
+    for _ in 0..3 {
+        let mut link = TcpStream::connect(s.fleet.seats[0].peers_at).unwrap();
+        link.write_all(&old).unwrap();
+        let mut nothing = Vec::new();
+        // Closed with no word.
+        let _ = link.read_to_end(&mut nothing);
+        assert!(nothing.is_empty());
+    }
+    let refused = |l: &String| l.contains("link from place 1 refused: version");
+    let log = &s.fleet.seats[0].log;
+    log.wait("refusal", refused);
+    // A datagram of such a member.
+    let mut stranger = Members::new(roster, 1, 9, VERSION - 1, Terms::default(), 1, 0);
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    for round in 0..20u64 {
+        stranger.woken(round * 250_000_000);
+        while let Some((to, data)) = stranger.next_send() {
+            if to == 0 {
+                socket.send_to(&data, s.fleet.seats[0].peers_at).unwrap();
+            }
+        }
+    }
+    let unspoken = |l: &String| l.contains("member at place 1 not spoken to: version");
+    log.wait("stranger", unspoken);
+    let all = log.all();
+    assert_eq!(
+        (all.iter().filter(|l| refused(l)).count(), all.iter().filter(|l| unspoken(l)).count()),
+        (1, 1)
+    );
+    assert!(!all.iter().any(|l| l.contains("is lost")), "the real n1 stays");
 }
 
 #[test]
--- a/crates/ivypitch-custody/src/custody.rs
+++ b/crates/ivypitch-custody/src/custody.rs
@@ -468,11 +468,19 @@
         let grant = Grant { void: true, ..pending.grant };
         case.pending = None;
         case.grants.push(grant);
-        self.denied(now, id, against, out)
+        // Witnesses that are heard and say nothing may be the first sign of a cut: its client may come from beyond it.
+        self.denied(now, id, against, open == 0, out)
     }
 
     /// No majority: another acts for it, it is over, or the witnesses can't be reached.
-    fn denied(&mut self, now: Nanos, id: Id, against: Vec<Told>, out: &mut dyn Output) -> Leave {
+    fn denied(
+        &mut self,
+        now: Nanos,
+        id: Id,
+        against: Vec<Told>,
+        all_answered: bool,
+        out: &mut dyn Output,
+    ) -> Leave {
         self.tell_later(now, id, None);
         let Some(case) = self.cases.get(&id) else { return Leave::Go };
         let (digest, mine) = (case.facts.digest, case.epoch);
@@ -487,7 +495,7 @@
             if self.terms.policy == Policy::Single {
                 return Leave::Go;
             }
-            return Leave::Denied(Denied::NoMajority { clean: self.is_first(now) });
+            return Leave::Denied(Denied::NoMajority { clean: all_answered && self.is_first(now) });
         };
         self.totals.elsewhere += 1;
         if let Some(case) = self.cases.get_mut(&id)
@@ -1285,6 +1293,7 @@
             let Some((at, id)) = self.ended_in_order.pop_front() else { break };
             if self.ended.get(&id) == Some(&at) {
                 self.ended.remove(&id);
+                self.ledger.drop_text(id);
             }
         }
         // Their witnesses still know the end.
--- a/crates/ivypitch-custody/src/ledger.rs
+++ b/crates/ivypitch-custody/src/ledger.rs
@@ -61,9 +61,14 @@
             (None, Some(end)) if told.epoch >= self.promised => self.end = Some(end),
             _ => {}
         }
-        if self.end.is_some()
-            && let Some(facts) = &mut self.facts
-        {
+        // That of a completed one is wanted as long as its engine may still have the rows.
+        if self.end.is_some_and(|end| !matches!(end, End::Completed { .. })) {
+            self.drop_text();
+        }
+    }
+
+    fn drop_text(&mut self) {
+        if let Some(facts) = &mut self.facts {
             facts.text = Vec::new();
         }
     }
@@ -261,6 +266,13 @@
         Some(())
     }
 
+    /// Nobody can need to ask its engine again.
+    pub fn drop_text(&mut self, id: Id) {
+        if let Some(entry) = self.entries.get_mut(&id) {
+            entry.drop_text();
+        }
+    }
+
     pub fn remove(&mut self, id: Id) {
         if let Some(entry) = self.entries.remove(&id) {
             self.forget.remove(&(entry.forget_at, id));
--- a/crates/ivypitch-lab/src/processes/mod.rs
+++ b/crates/ivypitch-lab/src/processes/mod.rs
@@ -19,7 +19,7 @@
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::faults::{Fault, Plan, What};
-use crate::stand_ins::{Seen, configuration, program};
+use crate::stand_ins::{PATIENCE, Seen, configuration, program};
 use engine::stamp;
 use journal::Journal;
 use relay::{End, Net};
@@ -62,8 +62,8 @@
 pub enum Engines {
     /// Emulated ones of so many cores.
     Processes { count: usize, cores: f64 },
-    /// A test's own.
-    At(Vec<SocketAddr>),
+    /// A test's own: the address of each for each gateway.
+    At(Vec<Vec<SocketAddr>>),
 }
 
 impl Default for Setup {
@@ -157,7 +157,7 @@
         for e in 0..count {
             fleet.engines[e].listen = match &fleet.setup.engines {
                 Engines::Processes { .. } => (0..gateways).map(|_| free_port()).collect(),
-                Engines::At(all) => vec![all[e]; gateways],
+                Engines::At(all) => all[e].clone(),
             };
             fleet.start_engine(e)?;
         }
@@ -168,13 +168,29 @@
         }
         (0..gateways).try_for_each(|g| fleet.start_gateway(g))?;
         if fleet.setup.peers.is_some() {
-            for seat in &fleet.seats {
-                seat.log.wait_for("members", gateways - 1, |line| line.contains("is up"));
-            }
+            fleet.wait_joined()?;
         }
         Ok(fleet)
     }
 
+    /// Each gateway has heard each other.
+    fn wait_joined(&self) -> Result<(), String> {
+        let until = Instant::now() + PATIENCE;
+        for (g, seat) in self.seats.iter().enumerate() {
+            for other in (0..self.setup.gateways).filter(|&other| other != g) {
+                let line = format!("member n{other} is up");
+                while !seat.log.all().iter().any(|said| said.ends_with(&line)) {
+                    if Instant::now() > until {
+                        let log = seat.log.all().join("\n");
+                        return Err(format!("n{g} has not heard n{other}; its log:\n{log}"));
+                    }
+                    thread::sleep(Duration::from_millis(5));
+                }
+            }
+        }
+        Ok(())
+    }
+
     fn seat(&self, g: usize, peers_at: &[SocketAddr]) -> std::io::Result<Seat> {
         static NUMBER: AtomicUsize = AtomicUsize::new(0);
         let (zones, me) = (self.setup.zones, End::Gateway(g));
@@ -465,8 +481,18 @@
     }
 }
 
+/// Lines of each process that a failed test prints.
+const LAST_LINES: usize = 25;
+
 impl Drop for Fleet {
     fn drop(&mut self) {
+        if thread::panicking() {
+            for (g, seat) in self.seats.iter().enumerate() {
+                let lines = seat.log.all();
+                let last = lines.len().saturating_sub(LAST_LINES);
+                lines[last..].iter().for_each(|line| eprintln!("n{g} {line}"));
+            }
+        }
         for g in 0..self.seats.len() {
             self.kill(g);
             let _ = std::fs::remove_file(&self.seats[g].config);
--- a/crates/ivypitch-lab/src/processes/relay.rs
+++ b/crates/ivypitch-lab/src/processes/relay.rs
@@ -26,6 +26,7 @@
     Gateway(usize),
     Engine(usize),
     Journal,
+    Client(usize),
 }
 
 /// What is wrong with one way.
--- a/crates/ivypitch-lab/src/stand_ins.rs
+++ b/crates/ivypitch-lab/src/stand_ins.rs
@@ -1,7 +1,7 @@
 //! Stand-ins for everything that a gateway talks to, and the gateway itself as a process. They wait on
 //! conditions, never for a fixed time.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -152,6 +152,109 @@
     }
 }
 
+/// An engine whose queries end when the test says so. It has an address for each gateway, so that it knows who calls.
+/// Ids from 1 << 32 on end at once.
+pub struct Held {
+    pub addresses: Vec<SocketAddr>,
+    /// Who called, and what.
+    pub calls: Seen<(usize, Call)>,
+    shared: Arc<Mutex<HeldQueries>>,
+}
+
+#[derive(Default)]
+struct HeldQueries {
+    /// By id: the pages of its end, where it has ended.
+    known: BTreeMap<u64, Option<Vec<String>>>,
+    mute_starts: bool,
+    mute_pages: bool,
+}
+
+impl HeldQueries {
+    fn reply(&mut self, call: &Call) -> Reply {
+        let path: Vec<&str> = call.path.split('/').collect();
+        let id = call.header("Via-Id").or(path.get(2).copied()).unwrap_or_default().to_owned();
+        let number = u64::from_str_radix(&id, 16).unwrap_or(0);
+        if call.is("DELETE") {
+            self.known.remove(&number);
+            return say(204, "", "");
+        }
+        if call.is("POST") {
+            let auto = (number >= 1 << 32).then(|| vec![format!("{id}\tb\tc\n")]);
+            self.known.entry(number).or_insert(auto);
+            if self.mute_starts {
+                return Reply::Silence;
+            }
+        }
+        let page = path.get(3).and_then(|page| page.parse::<usize>().ok()).unwrap_or(0);
+        match self.known.get(&number) {
+            None => say(500, "", ""),
+            Some(None) => say(202, "", ""),
+            Some(Some(_)) if page > 0 && self.mute_pages => Reply::Silence,
+            Some(Some(pages)) => {
+                let count = pages.len();
+                let head = format!("Page-Count: {count}\r\nPage-No: {page}\r\nWork-Ms: 5\r\nPeak-Mb: 1\r\n");
+                pages.get(page).map_or_else(|| say(500, "", ""), |body| say(200, &head, body))
+            }
+        }
+    }
+}
+
+impl Held {
+    pub fn start(gateways: usize) -> Held {
+        let shared: Arc<Mutex<HeldQueries>> = Arc::default();
+        let calls = Seen::new();
+        let one = |gateway: usize| {
+            let (shared, calls) = (shared.clone(), calls.clone());
+            let engine = Engine::start(move |call, _| {
+                let reply = shared.lock().unwrap().reply(call);
+                calls.push((gateway, call.clone()));
+                reply
+            });
+            engine.address
+        };
+        Held { addresses: (0..gateways).map(one).collect(), calls, shared }
+    }
+
+    pub fn end(&self, req: u64) {
+        self.end_with(req, vec![format!("{req:016x}\tb\tc\n")]);
+    }
+
+    pub fn end_with(&self, req: u64, pages: Vec<String>) {
+        self.shared.lock().unwrap().known.insert(req, Some(pages));
+    }
+
+    /// Starts are taken and not answered.
+    pub fn mute_starts(&self, is: bool) {
+        self.shared.lock().unwrap().mute_starts = is;
+    }
+
+    /// Pages but the first are not answered.
+    pub fn mute_pages(&self, is: bool) {
+        self.shared.lock().unwrap().mute_pages = is;
+    }
+
+    /// Its process begins anew.
+    pub fn forget(&self) {
+        self.shared.lock().unwrap().known.clear();
+    }
+
+    pub fn starts(&self, req: u64) -> usize {
+        let id = format!("{req:016x}");
+        self.calls.all().iter().filter(|(_, c)| c.is("POST") && c.header("Via-Id") == Some(&id)).count()
+    }
+
+    pub fn wait_start(&self, req: u64) -> usize {
+        let id = format!("{req:016x}");
+        self.calls.wait("start", |(_, c)| c.is("POST") && c.header("Via-Id") == Some(&id)).0
+    }
+
+    /// A question for this page by a gateway that is none of these.
+    pub fn wait_ask(&self, req: u64, page: usize, not: &[usize]) -> usize {
+        let path = format!("/c/{req:016x}/{page}");
+        self.calls.wait("question", |(by, c)| c.is("GET") && c.path == path && !not.contains(by)).0
+    }
+}
+
 fn read_call(reader: &mut BufReader<TcpStream>, connection: usize) -> Option<Call> {
     let (mut first, mut head) = (String::new(), String::new());
     reader.read_line(&mut first).ok().filter(|&n| n > 0)?;
@@ -410,7 +513,11 @@
 
 impl Client {
     pub fn connect(gateway: &Gateway) -> Client {
-        let mut client = Client::bare(gateway);
+        Client::at(gateway.address)
+    }
+
+    pub fn at(address: SocketAddr) -> Client {
+        let mut client = Client::bare_at(address);
         client.send(&login("app"));
         client.greeted();
         client
@@ -418,7 +525,11 @@
 
     /// Connected, nothing written or read.
     pub fn bare(gateway: &Gateway) -> Client {
-        let stream = TcpStream::connect(gateway.address).unwrap();
+        Client::bare_at(gateway.address)
+    }
+
+    fn bare_at(address: SocketAddr) -> Client {
+        let stream = TcpStream::connect(address).unwrap();
         stream.set_read_timeout(Some(PATIENCE)).unwrap();
         Client { stream, connection: 0 }
     }
--- a/crates/ivypitch-members/src/members.rs
+++ b/crates/ivypitch-members/src/members.rs
@@ -95,7 +95,7 @@
 
 /// Datagrams that wait to be carried away; more are dropped, as a network would.
 const MOST_SENDS: usize = 4096;
-/// Seats asked at the start and while nobody is heard.
+/// Seats asked at the start and while nobody is heard; else one.
 const ASKED_AT_ONCE: usize = 5;
 const ASK_AGAIN: Nanos = crate::SECOND / 4;
 
@@ -210,24 +210,30 @@
         }
         if now >= self.next_ask && !self.left {
             self.next_ask = now + ASK_AGAIN;
-            if self.foca.num_members() == 0 {
-                self.ask_seats();
-            }
+            // Whoever is heard passes on whom it hears, but two parts of a fleet that each hear their own would never
+            // meet: the seats that are not heard are asked as long as there are any.
+            let alone = self.foca.num_members() == 0;
+            self.ask_seats(if alone { ASKED_AT_ONCE } else { 1 });
         }
         self.settle(now);
     }
 
-    /// The next seats of the list are asked who is there, starting behind this one's.
-    fn ask_seats(&mut self) {
+    /// The next seats of the list that are not heard are asked who is there, starting behind this one's.
+    fn ask_seats(&mut self, most: usize) {
         let seats = self.roster.seats.len();
-        for _ in 0..ASKED_AT_ONCE.min(seats.saturating_sub(1)) {
-            self.asks += 1;
-            let place = (usize::from(self.me.place) + 1 + self.asks % (seats - 1).max(1)) % seats;
-            if place == usize::from(self.me.place) {
+        let mut asked = 0;
+        for _ in 1..seats {
+            if asked == most {
+                return;
+            }
+            self.asks = self.asks % (seats - 1) + 1;
+            let place = ((usize::from(self.me.place) + self.asks) % seats) as u16;
+            if self.is_heard(place) {
                 continue;
             }
+            asked += 1;
             // Any process there may answer.
-            let any = Who { place: place as u16, birth: 0, bump: 0, ..self.me };
+            let any = Who { place, birth: 0, bump: 0, ..self.me };
             let _ = self.foca.announce(any, &mut self.asked);
         }
     }
--- a/crates/ivypitch-members/tests/small.rs
+++ b/crates/ivypitch-members/tests/small.rs
@@ -103,3 +103,24 @@
         net.members[0].as_mut().unwrap().datagram(net.now, noise);
     }
 }
+
+/// Each hears each other, however they start: at once, or one by one while others send to seats that are still empty.
+#[test]
+fn a_large_fleet_that_starts_one_by_one_is_whole_soon() {
+    let names: Vec<String> = (0..30).map(|i| format!("n{i}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    for gap in [0, 8, 40, 400] {
+        let mut net = Net::new(&names);
+        net.members.iter_mut().for_each(|member| *member = None);
+        for i in 0..names.len() {
+            let birth = 1_796_171_261_574 + net.now / MS;
+            let member =
+                Members::new(roster(&names), i as u16, birth, 1, Terms::default(), 9 + i as u64, net.now);
+            net.members[i] = Some(member);
+            net.run(gap * MS);
+        }
+        net.run(8 * SECOND);
+        let heard: Vec<u16> = net.members.iter().flatten().map(|m| m.hearing().all_heard()).collect();
+        assert!(heard.iter().all(|&n| n == 30), "started each {gap} ms: {heard:?}");
+    }
+}
