--- a/crates/ivypitch-lab/src/gateway_loss.rs
+++ b/crates/ivypitch-lab/src/gateway_loss.rs
@@ -111,6 +111,12 @@
         bound(&format!("{name}: loads started twice"), v.doubled as f64, 0.0, 0.0);
         bound(&format!("{name}: loads refused that ran"), v.refused_and_ran as f64, 0.0, 0.0);
         bound(&format!("{name}: clients with two ends"), v.two_ends as f64, 0.0, 0.0);
+        bound(
+            &format!("{name}: second clients told no more than may have run"),
+            v.unsure as f64,
+            0.0,
+            f64::MAX,
+        );
         bound(&format!("{name}: clients left without a word"), v.silent as f64, 0.0, 0.0);
         bound(&format!("{name}: crashes"), v.crashes.len() as f64, 0.0, 0.0);
     }
--- a/crates/ivypitch-lab/src/processes/engine.rs
+++ b/crates/ivypitch-lab/src/processes/engine.rs
@@ -102,7 +102,7 @@
         });
         let executor = Rc::new(LocalExecutor::new());
         for (by, address) in self.listen.iter().enumerate() {
-            let listener = Async::<TcpListener>::bind(*address)?;
+            let listener = Async::new(bind(*address)?)?;
             let (on, emulated) = (executor.clone(), emulated.clone());
             let task = async move {
                 while let Ok((stream, _)) = listener.accept().await {
@@ -137,6 +137,19 @@
     }
 }
 
+/// The port of a process that died a moment ago may be taken still.
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let until = Instant::now() + Duration::from_secs(5);
+    loop {
+        match TcpListener::bind(address) {
+            Err(e) if e.kind() == io::ErrorKind::AddrInUse && Instant::now() < until => {
+                std::thread::sleep(Duration::from_millis(20));
+            }
+            bound => return bound,
+        }
+    }
+}
+
 impl Emulated {
     fn now(&self) -> Nanos {
         self.began.elapsed().as_nanos() as Nanos + 1
--- a/crates/ivypitch-lab/src/processes/story.rs
+++ b/crates/ivypitch-lab/src/processes/story.rs
@@ -19,6 +19,8 @@
     pub refused_and_ran: u64,
     /// Clients that heard two ends that can't both be, or rows of another statement.
     pub two_ends: u64,
+    /// Second clients of a load that had completed that heard "may have run": true, and less than they might have.
+    pub unsure: u64,
     /// A gateway that was there all the time left its client without a word.
     pub silent: u64,
     pub served: u64,
@@ -70,7 +72,7 @@
     for (ask, story) in asks.iter().zip(stories) {
         let mut broken = |what: &str, id: u64| {
             if verdict.broken.len() < MOST_LINES {
-                verdict.broken.push(format!("{what}: {id:016x} {:?}", story.visits));
+                verdict.broken.push(format!("{what}: {id:016x} {:?} {:?}", story.visits, story.second));
             }
         };
         verdict.loads += u64::from(ask.load);
