Shares in virtual time: bounds hold over fault plans, verdicts of the last few members

ivypitch lab run shares plays the deciding crate of whole fleets: cuts, restarts, stops, late and doubled datagrams, clocks 0.5% apart, demand ten to one that moves. Found there: a lender's no left its question open, so nothing moved for a loan's span.

--- a/crates/ivypitch-gateway/src/wire/peers.rs
+++ b/crates/ivypitch-gateway/src/wire/peers.rs
@@ -3,6 +3,7 @@
 
 use bytes::{Buf, Bytes, BytesMut};
 use ivypitch_custody::Message;
+use ivypitch_shares::Gossip;
 use serde::{Deserialize, Serialize};
 
 /// A result and what stands around it; a longer frame ends the link.
@@ -20,6 +21,7 @@
     /// Nothing to say, and still there.
     Beat,
     Body(Message),
+    Shares(ivypitch_shares::Message),
 }
 
 pub fn write(frame: &Frame) -> Bytes {
@@ -28,6 +30,21 @@
     Bytes::from([&length[..], &body].concat())
 }
 
+/// No datagram of the members begins so: its first number is a place, and no place is written with these bytes.
+const GOSSIP_MARK: [u8; 4] = [0xff; 4];
+
+/// A datagram of what is shared; it goes beside those of the members, from the same port.
+pub fn write_gossip(gossip: &Gossip) -> Vec<u8> {
+    let body = postcard::to_stdvec(gossip).unwrap_or_default();
+    [&GOSSIP_MARK[..], &body].concat()
+}
+
+/// `None`: it is no such datagram; else what it says, where it can be read.
+pub fn read_gossip(datagram: &[u8]) -> Option<Option<Gossip>> {
+    let body = datagram.strip_prefix(&GOSSIP_MARK)?;
+    Some(postcard::from_bytes(body).ok())
+}
+
 #[derive(Debug, PartialEq)]
 pub struct Malformed(pub &'static str);
 
--- a/crates/ivypitch-lab/src/experiments.rs
+++ b/crates/ivypitch-lab/src/experiments.rs
@@ -8,11 +8,13 @@
 use crate::custody_cost;
 use crate::custody_fleet;
 use crate::engine::Model;
+use crate::faults::Plan;
 use crate::figures::Figures;
-use crate::fleet::{Fleet, Plan};
+use crate::fleet::{Fleet, Plan as FleetPlan};
 use crate::gateway_loss;
 use crate::members_fleet;
 use crate::report::{Bound, Report};
+use crate::shares_fleet;
 use crate::sockets;
 use crate::traffic::{self, Flood, Team, Work};
 
@@ -38,6 +40,11 @@
         about: "fault plans over a fleet whose gateways take each other's statements over, in virtual time",
         run: custody,
     },
+    Experiment {
+        name: "shares",
+        about: "budgets lent and judgements shared over fault plans, bounds counted where they are used, in virtual time",
+        run: shares,
+    },
     Experiment {
         name: "gateway-loss",
         about: "real gateways and engines, a gateway lost every 3 s while clients come back, beside the same without losses and without peers",
@@ -161,18 +168,9 @@
             "virtual time, {} gateways, {} engines, {plans} plans, a fault each {} ms, {what}",
             fleet.gateways, fleet.engines, fleet.fault_gap
         );
-        let play = |from: u64, to: u64| -> Vec<custody_fleet::Verdict> {
-            let one =
-                |seed: u64| custody_fleet::play(fleet, &custody_fleet::draw(fleet, seed, losses_only), seed);
-            (from..to).map(one).collect()
-        };
-        let parts = std::thread::available_parallelism().map_or(1, |n| n.get() as u64).min(plans);
-        let all: Vec<custody_fleet::Verdict> = std::thread::scope(|scope| {
-            let play = &play;
-            let at = |part: u64| seed + plans * part / parts;
-            let runs: Vec<_> = (0..parts).map(|p| scope.spawn(move || play(at(p), at(p + 1)))).collect();
-            runs.into_iter().flat_map(|run| run.join().unwrap_or_default()).collect()
-        });
+        let play =
+            |seed: u64| custody_fleet::play(fleet, &custody_fleet::draw(fleet, seed, losses_only), seed);
+        let all = side_by_side(plans, seed, play);
         if let Some(first) = all.iter().position(|verdict| !verdict.holds()) {
             let seed = seed + first as u64;
             let plan = custody_fleet::draw(fleet, seed, losses_only);
@@ -203,6 +201,117 @@
     report
 }
 
+/// Plans by the seed and those that follow it, over as many threads as there are cores.
+fn side_by_side<T: Send>(plans: u64, seed: u64, play: impl Fn(u64) -> T + Sync) -> Vec<T> {
+    let parts = std::thread::available_parallelism().map_or(1, |n| n.get() as u64).min(plans).max(1);
+    let at = |part: u64| seed + plans * part / parts;
+    std::thread::scope(|scope| {
+        let play = &play;
+        let run = |p| scope.spawn(move || (at(p)..at(p + 1)).map(play).collect::<Vec<T>>());
+        let runs: Vec<_> = (0..parts).map(run).collect();
+        runs.into_iter().flat_map(|run| run.join().unwrap_or_default()).collect()
+    })
+}
+
+/// Fault plans over fleets that share; then engines that fail, with and without, and members that are wrong.
+fn shares(quick: bool, seed: u64) -> Report {
+    let mut report = Report::new("shares", seed);
+    let base = shares_fleet::Fleet::default();
+    let small = shares_fleet::Fleet { gateways: 12, ..base.clone() };
+    let large = shares_fleet::Fleet { gateways: 300, engines: 80, span: 8_000, ..base.clone() };
+    let plans = if quick { 60 } else { 5000 };
+    for (fleet, plans) in [(&small, plans), (&base, plans), (&large, if quick { 2 } else { plans })] {
+        let play = |seed: u64| shares_fleet::play(fleet, &shares_fleet::draw(fleet, seed), seed);
+        let all = side_by_side(plans, seed, play);
+        if let Some(first) = all.iter().position(|verdict| !verdict.holds()) {
+            let seed = seed + first as u64;
+            let plan = shares_fleet::draw(fleet, seed);
+            let least = plan.cut_down(30, |plan| !shares_fleet::play(fleet, plan, seed).holds());
+            println!("seed {seed} passes a bound; the least plan that does:\n{least}");
+        }
+        let place = format!("virtual time, {} gateways, {plans} plans, all faults", fleet.gateways);
+        let sum = |of: fn(&shares_fleet::Verdict) -> f64| all.iter().map(of).sum::<f64>();
+        let most = |of: fn(&shares_fleet::Verdict) -> f64| all.iter().map(of).fold(0.0, f64::max);
+        let mut bound = |what: &str, is, least, most| {
+            report.bounds.push(Bound::new(&format!("{place}: {what}"), is, least, most))
+        };
+        bound("plans played", all.len() as f64, plans as f64, plans as f64);
+        bound("instants at which all held more than the bound", sum(|v| v.passed_level as f64), 0.0, 0.0);
+        bound("windows in which more was spent", sum(|v| v.passed_window as f64), 0.0, 0.0);
+        bound("instants under the floor", sum(|v| v.under_floor as f64), 0.0, 0.0);
+        bound("the most that all held, of the bound", most(|v| v.most_held), 0.0, 1.0);
+        bound("the most that was spent in a window, of the bound", most(|v| v.most_spent), 0.0, 1.0);
+        bound(
+            "usable of what was asked for, mean",
+            sum(|v| v.usable) / all.len().max(1) as f64,
+            0.0,
+            f64::MAX,
+        );
+    }
+    let sizes: &[(usize, usize)] = if quick { &[(3, 6), (30, 20)] } else { &[(3, 6), (30, 20), (300, 80)] };
+    for &(gateways, engines) in sizes {
+        let plans = if quick { 6 } else { 24 };
+        let with = shares_fleet::Fleet { gateways, engines, span: 12_000, ..base.clone() };
+        let without = shares_fleet::Fleet { shares: false, ..with.clone() };
+        let liars = shares_fleet::Fleet { liars: true, failing: 1, ..with.clone() };
+        let none = Plan::default();
+        let [with, without, liars] = [&with, &without, &liars]
+            .map(|f| side_by_side(plans, seed, |seed| shares_fleet::play(f, &none, seed)));
+        let place = format!("virtual time, {gateways} gateways, {engines} engines, no faults of links");
+        let mean = |all: &[shares_fleet::Verdict], of: fn(&shares_fleet::Verdict) -> f64| {
+            all.iter().map(of).sum::<f64>() / all.len().max(1) as f64
+        };
+        let mut bound = |what: &str, is, least, most| {
+            report.bounds.push(Bound::new(&format!("{place}: {what}"), is, least, most))
+        };
+        let usable = if gateways >= 10 { 0.9 } else { 0.0 };
+        bound("usable of what was asked for, uneven", mean(&with, |v| v.usable), usable, 1.0);
+        bound("the same with even parts", mean(&without, |v| v.usable), 0.0, f64::MAX);
+        for (name, all) in
+            [("shared", &with), ("own judgement alone", &without), ("shared, with liars", &liars)]
+        {
+            let never = |v: &shares_fleet::Verdict| f64::from(u8::from(v.out_ms == u64::MAX));
+            fn ms(ms: u64) -> f64 {
+                if ms == u64::MAX { 12_000.0 } else { ms as f64 }
+            }
+            bound(
+                &format!("{name}: failing engines not left out by 99%, plans"),
+                mean(all, never),
+                0.0,
+                f64::MAX,
+            );
+            bound(
+                &format!("{name}: until 99% send them nothing, ms"),
+                mean(all, |v| ms(v.out_ms)),
+                0.0,
+                f64::MAX,
+            );
+            bound(
+                &format!("{name}: until 99% use them again, ms"),
+                mean(all, |v| ms(v.back_ms)),
+                0.0,
+                f64::MAX,
+            );
+            bound(&format!("{name}: sent to failing engines, of all"), mean(all, |v| v.lost), 0.0, f64::MAX);
+            bound(
+                &format!("{name}: most to a returned engine, over usual"),
+                mean(all, |v| v.herd),
+                0.0,
+                f64::MAX,
+            );
+            bound(
+                &format!("{name}: falsely left out, engine-seconds a gateway"),
+                mean(all, |v| v.falsely_out),
+                0.0,
+                f64::MAX,
+            );
+        }
+        bound("bytes of gossip a gateway a second", mean(&with, |v| v.gossip_bytes), 0.0, 40_000.0);
+        bound("bytes on links a gateway a second", mean(&with, |v| v.link_bytes), 0.0, f64::MAX);
+    }
+    report
+}
+
 /// Without the flood, with it, and with it and the queues: the same seed, the same statements of the others.
 fn team_flood(quick: bool, seed: u64) -> Report {
     let mut report = Report::new("team-flood", seed);
@@ -222,7 +331,7 @@
     let play = |flood: Flood, queues: bool| {
         let teams = teams(cores, flood);
         let statements = traffic::statements(&works, &teams, span, seed);
-        let fleet = Fleet::new(Plan {
+        let fleet = Fleet::new(FleetPlan {
             gateways,
             engines,
             model: model.clone(),
@@ -282,7 +391,7 @@
             })
             .collect();
         let statements = traffic::statements(&works, &all, span, seed);
-        let fleet = Fleet::new(Plan {
+        let fleet = Fleet::new(FleetPlan {
             gateways,
             engines,
             model: model.clone(),
--- a/crates/ivypitch-lab/src/lib.rs
+++ b/crates/ivypitch-lab/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod members_fleet;
 pub mod processes;
 pub mod report;
+pub mod shares_fleet;
 pub mod sockets;
 pub mod stand_ins;
 pub mod traffic;
--- a/crates/ivypitch-shares/src/escrow.rs
+++ b/crates/ivypitch-shares/src/escrow.rs
@@ -96,6 +96,9 @@
 /// A step of the clock longer than this may be the clock's alone: for what is waited for it counts as so long.
 const LEAP: Nanos = SECOND;
 
+/// A lender that is there has answered by then.
+const ANSWERED: Nanos = SECOND * 3 / 10;
+
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Escrow {
     place: u16,
@@ -373,12 +376,21 @@
         self.loans.iter().filter_map(soon).collect()
     }
 
-    /// Open questions for loans that are not prolongations.
+    /// A lender said no.
+    pub fn refused(&mut self, serial: Serial) {
+        self.asked.remove(&serial);
+    }
+
+    /// Questions for new loans that may still be answered soon; a later yes counts all the same.
     pub fn open_questions(&self) -> usize {
-        self.asked.values().filter(|asked| asked.prolongs.is_none()).count()
+        self.asked.values().filter(|asked| self.is_open(asked)).count()
     }
 
     pub fn is_asking(&self, lender: u16) -> bool {
-        self.asked.values().any(|asked| asked.lender == lender && asked.prolongs.is_none())
+        self.asked.values().any(|asked| asked.lender == lender && self.is_open(asked))
+    }
+
+    fn is_open(&self, asked: &Question) -> bool {
+        asked.prolongs.is_none() && self.last < asked.asked_at + ANSWERED
     }
 }
--- a/crates/ivypitch-shares/src/market.rs
+++ b/crates/ivypitch-shares/src/market.rs
@@ -14,7 +14,7 @@
 const SMOOTH: Nanos = SECOND / 4;
 const ROOM: f64 = 1.15;
 /// A need that falls counts for so long as it was.
-const FALLS: Nanos = SECOND;
+const FALLS: Nanos = SECOND / 2;
 /// Questions that are open at once for one bound.
 const MOST_QUESTIONS: usize = 24;
 /// Whoever lent nothing is not asked again for so long.
@@ -221,7 +221,7 @@
         }
         self.next_back = now + LOOK * 2;
         // A part at a time.
-        let stay = borrowed.saturating_sub(over.min(borrowed.div_ceil(4)));
+        let stay = borrowed.saturating_sub(over.min(borrowed.div_ceil(2)));
         for (lender, loan) in self.escrow.give_back(now, stay, None) {
             say(lender, Word::Return(loan));
         }
@@ -243,7 +243,8 @@
                     say(from.place, Word::Return(yes.loan));
                 }
             }
-            Word::No { .. } => {
+            Word::No { serial } => {
+                self.escrow.refused(serial);
                 let advert = self.adverts.entry(from.place).or_default();
                 (advert.spare, advert.not_before) = (0, now + PAUSE);
             }
--- a/crates/ivypitch-shares/src/shares.rs
+++ b/crates/ivypitch-shares/src/shares.rs
@@ -59,6 +59,8 @@
     pub is_out: bool,
     /// This member is one of those that try it now.
     pub tries: bool,
+    /// Others met it lately and it went well: own outcomes from before say nothing any more.
+    pub is_well: bool,
 }
 
 pub trait Output {
@@ -91,7 +93,7 @@
     told: Sight,
 }
 
-const LAST_FEW: usize = 8;
+const LAST_FEW: usize = 3;
 /// A member speaks of an engine no more often than so.
 const WORDS_APART: Nanos = SECOND / 10;
 /// Once so many others have said the same of an engine, one more need not.
@@ -242,6 +244,14 @@
         })
     }
 
+    /// As of that instant.
+    pub fn held_at(&mut self, now: Nanos, bound: usize) -> u32 {
+        self.bounds.get_mut(bound).map_or(0, |bound| {
+            bound.escrow.tick(now);
+            bound.escrow.held()
+        })
+    }
+
     pub fn held(&self, bound: usize) -> u32 {
         self.bounds.get(bound).map_or(0, |bound| bound.escrow.held())
     }
@@ -350,7 +360,8 @@
             }
             let is_out = verdict.is_out || self.returns.contains_key(&engine);
             let tries = verdict.is_out && tries(now, engine, self.me.place, heard, self.seed);
-            let advice = Advice { is_out, tries };
+            let is_well = verdict.is_well && !is_out;
+            let advice = Advice { is_out, tries, is_well };
             if advice != was {
                 self.advised.insert(engine, advice);
                 out.advise(engine, advice);
--- a/crates/ivypitch-shares/src/verdicts.rs
+++ b/crates/ivypitch-shares/src/verdicts.rs
@@ -7,14 +7,20 @@
 use ivypitch::interface::{Nanos, SECOND};
 use siphasher::sip::SipHasher13;
 
-use crate::sights::Table;
+use crate::sights::{Sight, Table};
 
+/// The newest words, one of each member, are laid together: as an engine is judged by the last few outcomes alone, it
+/// is by the last few members that met it together.
+const LAST_FEW: usize = 8;
 /// Of one member so many outcomes count.
-const OF_A_MEMBER: f64 = 4.0;
-/// An engine is left out once so many failures were seen by so many members, and fewer than this part went well.
-const FEWEST_FAILURES: f64 = 4.0;
+const OF_A_MEMBER: f64 = 2.0;
+/// An engine is left out once so many failures were seen by so many members (by most, where there are few), and fewer
+/// than this part went well.
+const FEWEST_FAILURES: f64 = 3.0;
 const FEWEST_MEMBERS: usize = 3;
 const FEWEST_SUCCESSES: f64 = 0.375;
+/// It is well once so many members met it lately and this part went well.
+const WELL_BY: usize = 2;
 /// It is back with this part, or as nobody has said anything bad of it for the life of a word.
 const BACK_FROM: f64 = 0.6;
 /// What nobody can reach counts as failing only where members of most zones that say anything say so.
@@ -40,6 +46,8 @@
     pub members: usize,
     /// Members of most zones can't reach it.
     pub unreached: bool,
+    /// Some members met it lately and it went well.
+    pub is_well: bool,
 }
 
 /// Keeps which engines are out, since who is back needs more than who was never out.
@@ -72,21 +80,26 @@
     }
 
     fn one(&self, now: Nanos, table: &Table, zones: &[u16], ill: &[bool], engine: u64) -> Verdict {
-        let (mut failures, mut outcomes, mut members, mut accusers) = (0.0, 0.0, 0, 0);
+        let (mut failures, mut outcomes, mut members, mut accusers, mut defenders) = (0.0, 0.0, 0, 0, 0);
+        let is_ill = |member: u16| ill.get(usize::from(member)) == Some(&true);
+        let mut words: Vec<(u16, Sight, f64)> =
+            table.fresh(engine, now).filter(|&(member, ..)| !is_ill(member)).collect();
+        words.sort_by(|a, b| b.2.total_cmp(&a.2).then(a.0.cmp(&b.0)));
         // By zone: weight of members that can't reach it, and of all that speak.
         let mut ways: Vec<(u16, f64, f64)> = Vec::new();
-        for (member, sight, weight) in table.fresh(engine, now) {
+        let met = |sight: &Sight| f64::from(sight.successes) + f64::from(sight.failures);
+        let mut laid = 0;
+        for (member, sight, weight) in words {
             let at = usize::from(member);
-            if ill.get(at) == Some(&true) {
-                continue;
-            }
-            let told = f64::from(sight.successes) + f64::from(sight.failures);
-            let counts = told.min(OF_A_MEMBER) * weight;
+            let told = met(&sight);
             members += 1;
-            if told > 0.0 {
+            if told > 0.0 && laid < LAST_FEW {
+                laid += 1;
+                let counts = told.min(OF_A_MEMBER) * weight;
                 failures += counts * f64::from(sight.failures) / told;
                 outcomes += counts;
                 accusers += usize::from(sight.failures > sight.successes);
+                defenders += usize::from(sight.successes > sight.failures);
             }
             let zone = zones.get(at).copied().unwrap_or(u16::MAX);
             let way = match ways.iter_mut().find(|way| way.0 == zone) {
@@ -103,15 +116,17 @@
         // All of one zone alone may be that zone's own way.
         let unreached = dark as f64 > ZONES_UNREACHED * ways.len() as f64
             && (dark > 1 || zones.iter().all(|&zone| Some(zone) == zones.first().copied()))
-            && members >= FEWEST_MEMBERS;
+            && members >= FEWEST_MEMBERS.min(zones.len() / 2 + 1);
+        let fewest = FEWEST_MEMBERS.min(zones.len() / 2 + 1);
         let good = 1.0 - failures / outcomes.max(1e-9);
         let was_out = self.out.contains(&engine);
         let is_out = unreached
             || match was_out {
                 true => failures > 0.0 && good < BACK_FROM,
-                false => failures >= FEWEST_FAILURES && accusers >= FEWEST_MEMBERS && good < FEWEST_SUCCESSES,
+                false => failures >= FEWEST_FAILURES && accusers >= fewest && good < FEWEST_SUCCESSES,
             };
-        Verdict { engine, is_out, failures, outcomes, members, unreached }
+        let is_well = !is_out && defenders >= WELL_BY && good >= BACK_FROM;
+        Verdict { engine, is_out, failures, outcomes, members, unreached, is_well }
     }
 }
 
