--- a/crates/ivypitch-deployment/src/own_peers.rs
+++ b/crates/ivypitch-deployment/src/own_peers.rs
@@ -79,6 +79,39 @@
     },
 ];
 
+const SHARES: &[Field] = &[
+    Field {
+        name: "enabled",
+        kind: Kind::Bool,
+        default: "false",
+        about: "Budgets are lent among gateways, judgements on engines and news of the roster are shared.",
+    },
+    Field {
+        name: "floor",
+        kind: Kind::Number { least: 0.0, most: 1.0 },
+        default: "0.1",
+        about: "Part of its even part of a bound that a gateway never lends.",
+    },
+    Field {
+        name: "span_ms",
+        kind: Kind::Number { least: 200.0, most: 60_000.0 },
+        default: "2000",
+        about: "Of a loan; a gateway that is cut off gets back what it lent after so long.",
+    },
+    Field {
+        name: "drift",
+        kind: Kind::Number { least: 0.0, most: 0.2 },
+        default: "0.01",
+        about: "Clocks of gateways run apart by no more than this part.",
+    },
+    Field {
+        name: "kb_a_second",
+        kind: Kind::Number { least: 1.0, most: 100_000.0 },
+        default: "40",
+        about: "Datagrams of a gateway with words on engines.",
+    },
+];
+
 pub const PEERS: &[Field] = &[
     Field { name: "enabled", kind: Kind::Bool, default: "true", about: "Talk with the other gateways." },
     Field {
@@ -111,6 +144,7 @@
         default: "{}",
         about: "What becomes of work in hand.",
     },
+    Field { name: "shares", kind: Kind::Record(SHARES), default: "{}", about: "What gateways share." },
 ];
 
 #[derive(Clone, Debug, Deserialize)]
@@ -121,6 +155,7 @@
     period_ms: f64,
     suspicion_ms: f64,
     pub custody: OwnCustody,
+    pub shares: OwnShares,
 }
 
 #[derive(Clone, Debug, Deserialize)]
@@ -141,6 +176,15 @@
     most_statements: usize,
 }
 
+#[derive(Clone, Debug, Deserialize)]
+pub struct OwnShares {
+    pub enabled: bool,
+    floor: f64,
+    span_ms: f64,
+    drift: f64,
+    kb_a_second: f64,
+}
+
 /// Checked, for one gateway.
 pub struct Peering {
     pub roster: Roster,
@@ -232,6 +276,38 @@
     }
 }
 
+/// Units of a gateway's even part of a bound: the least that is lent is one of them.
+const UNITS_EACH: u32 = 100;
+/// Allowances are told a second.
+const A_SECOND: Nanos = 1000 * MS;
+/// Events of the journal that are kept for members, and their bytes.
+const MOST_EVENTS: usize = 512;
+const MOST_EVENT_BYTES: usize = 1 << 20;
+const MOST_ENGINES: usize = 1024;
+
+impl OwnShares {
+    /// Over the gateways of the list: the cores that the teams' queues share out, then each customer's allowance.
+    pub fn terms(&self, gateways: usize, customers: &[String]) -> ivypitch_shares::Terms {
+        let terms = ivypitch_shares::escrow::Terms {
+            units: UNITS_EACH * gateways as u32,
+            members: gateways as u16,
+            floor: self.floor,
+            window: 0,
+            span: ns(self.span_ms),
+            drift: self.drift,
+        };
+        let bound = |name: String, counts_over| ivypitch_shares::BoundTerms { name, terms, counts_over };
+        let allowances = customers.iter().map(|name| bound(format!("allowance {name}"), A_SECOND));
+        ivypitch_shares::Terms {
+            bounds: std::iter::once(bound("cores".into(), 0)).chain(allowances).collect(),
+            bytes_a_second: self.kb_a_second * 1000.0,
+            most_engines: MOST_ENGINES,
+            most_events: MOST_EVENTS,
+            most_event_bytes: MOST_EVENT_BYTES,
+        }
+    }
+}
+
 fn ns(ms: f64) -> Nanos {
     (ms * MS as f64) as Nanos
 }
--- a/crates/ivypitch-gateway/src/actors/custody.rs
+++ b/crates/ivypitch-gateway/src/actors/custody.rs
@@ -164,14 +164,15 @@
         over
     }
 
-    pub fn peer(&mut self, now: Nanos, peer: Peer) {
+    pub fn peer(&mut self, now: Nanos, peer: &Peer) {
         match peer {
-            Peer::Heard { from, message, _receipt } => {
-                self.custody.heard(now, from, *message, &mut self.acts);
+            Peer::Heard { from, message, .. } => {
+                self.custody.heard(now, *from, (**message).clone(), &mut self.acts);
             }
-            Peer::Up { place, birth } => self.custody.member_up(now, place, birth),
-            Peer::Down { place, birth } => self.custody.member_down(now, place, birth, &mut self.acts),
-            Peer::Suspected { place, is } => self.custody.member_suspected(place, is),
+            Peer::Up { place, birth } => self.custody.member_up(now, *place, *birth),
+            Peer::Down { place, birth } => self.custody.member_down(now, *place, *birth, &mut self.acts),
+            Peer::Suspected { place, is } => self.custody.member_suspected(*place, *is),
+            Peer::Shared { .. } | Peer::Gossip(..) => {}
         }
     }
 
--- a/crates/ivypitch-gateway/src/actors/list.rs
+++ b/crates/ivypitch-gateway/src/actors/list.rs
@@ -1,12 +1,14 @@
 //! Follows the journal service: every event after the last one held, over connections that come and go, at the
 //! address that the configuration gives last.
 
+use std::cell::Cell;
 use std::net::{SocketAddr, TcpStream};
+use std::pin::Pin;
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use futures_lite::{AsyncWriteExt, FutureExt};
 
 use super::ModuleMail;
@@ -23,25 +25,41 @@
     Err(what.to_owned())
 }
 
-/// What is held of the list: all events up to `last`. It stays, whatever the service does.
+/// To this actor.
+pub enum ListMail {
+    /// The journal service is followed there from now on.
+    Address(SocketAddr),
+    /// A line of the journal that another gateway has told.
+    Event(Bytes),
+}
+
+/// What is held of the list: all events up to `last`. It stays, whatever the service does. The next event is taken from
+/// whoever tells it first.
 pub struct List {
-    pub last: u64,
+    pub last: Cell<u64>,
     /// Longer lines are not read.
     pub longest_line: usize,
     pub module: Sender<ModuleMail>,
+    /// The module's actor wants to hear of all that the journal says, for the other gateways.
+    pub shares: bool,
 }
 
 impl List {
     /// Follows the address told last; a new one is followed at once, from where the old one was.
-    pub async fn run(mut self, mut address: Option<SocketAddr>, mailbox: Receiver<SocketAddr>) {
+    pub async fn run(self, address: Option<SocketAddr>, mailbox: Receiver<ListMail>) {
+        let list = &self;
+        let following = |address: Option<SocketAddr>| async move {
+            match address {
+                Some(at) => list.follow(at).await,
+                None => std::future::pending().await,
+            }
+        };
+        let mut follow: Pin<Box<dyn Future<Output = ListMail>>> = Box::pin(following(address));
         loop {
-            let moved = async { mailbox.recv().await.map(Some) };
-            let told = match address {
-                None => moved.await,
-                Some(at) => moved.or(async { self.follow(at).await }).await,
-            };
-            match told {
-                Ok(new) => address = new,
+            let told = async { mailbox.recv().await };
+            match told.or(async { Ok(follow.as_mut().await) }).await {
+                Ok(ListMail::Address(new)) => follow = Box::pin(following(Some(new))),
+                Ok(ListMail::Event(line)) => drop(self.take(&line)),
                 // The program has ended.
                 Err(_) => return,
             }
@@ -49,25 +67,25 @@
     }
 
     /// Never returns.
-    async fn follow<T>(&mut self, address: SocketAddr) -> T {
+    async fn follow<T>(&self, address: SocketAddr) -> T {
         let mut well = true;
         loop {
             let why = self.follow_once(address, &mut well).await;
             if well {
-                log::warn!("journal {address} lost at {}: {why}", self.last);
+                log::warn!("journal {address} lost at {}: {why}", self.last.get());
             }
             well = false;
             Timer::after(BREATHER).await;
         }
     }
 
-    async fn follow_once(&mut self, address: SocketAddr, well: &mut bool) -> String {
+    async fn follow_once(&self, address: SocketAddr, well: &mut bool) -> String {
         let connect = async { Async::<TcpStream>::connect(address).await.map_err(|e| e.to_string()) };
         let stream = match connect.or(late(Instant::now() + CONNECT, "no connection in time")).await {
             Ok(stream) => stream,
             Err(e) => return e,
         };
-        if let Err(e) = (&stream).write_all(journal::tail(self.last).as_bytes()).await {
+        if let Err(e) = (&stream).write_all(journal::tail(self.last.get()).as_bytes()).await {
             return e.to_string();
         }
         let mut input = BytesMut::new();
@@ -78,8 +96,11 @@
                     return why;
                 }
                 silent_at = Instant::now() + SILENT;
+                if self.shares {
+                    let _ = self.module.try_send(ModuleMail::Journal { event: None });
+                }
                 if !*well {
-                    log::info!("journal {address} followed again from {}", self.last);
+                    log::info!("journal {address} followed again from {}", self.last.get());
                     *well = true;
                 }
             }
@@ -96,17 +117,22 @@
     }
 
     /// The next event goes to the module; one that is held already passes. A gap is told again from its begin.
-    fn take(&mut self, line: &[u8]) -> Result<(), String> {
+    fn take(&self, line: &[u8]) -> Result<(), String> {
+        let last = self.last.get();
         match journal::read_line(line) {
-            Ok(Line::Last(number)) if number > self.last => Err(format!("events up to {number} missing")),
-            Ok(Line::Event(event)) if event.pos > self.last + 1 => {
-                Err(format!("event {} after {}", event.pos, self.last))
+            Ok(Line::Last(number)) if number > last => Err(format!("events up to {number} missing")),
+            Ok(Line::Event(event)) if event.pos > last + 1 => {
+                Err(format!("event {} after {}", event.pos, last))
             }
-            Ok(Line::Event(event)) if event.pos == self.last + 1 => {
-                self.last = event.pos;
+            Ok(Line::Event(event)) if event.pos == last + 1 => {
+                self.last.set(event.pos);
                 if let Some(hosts) = event.hosts {
                     let _ = self.module.try_send(ModuleMail::Listed { hosts });
                 }
+                if self.shares {
+                    let event = Some((event.pos, Bytes::copy_from_slice(line)));
+                    let _ = self.module.try_send(ModuleMail::Journal { event });
+                }
                 Ok(())
             }
             Ok(_) => Ok(()),
--- a/crates/ivypitch-gateway/src/actors/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/mod.rs
@@ -8,8 +8,10 @@
 pub mod peers;
 pub mod queues;
 pub mod session;
+pub mod shares;
 
 use async_channel::Sender;
+use bytes::Bytes;
 use ivypitch::interface::{EngineIx, Nanos, Note, Outcome, StmtIx};
 
 use ivypitch_teams::{Budgets, Queued};
@@ -70,6 +72,14 @@
     Drain {
         by: Nanos,
     },
+    /// The journal said something; an event, where one was taken: its number and line.
+    Journal {
+        event: Option<(u64, Bytes)>,
+    },
+    /// What this gateway shares with the others, as JSON; empty where it shares nothing.
+    ShowFleet {
+        client: Sender<String>,
+    },
     /// Of the other gateways.
     Peer(peers::Peer),
     /// New budgets of the teams.
--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -22,7 +22,9 @@
 use super::custody::{self, Keeper, Ready, Waiting};
 use super::engine::{self, EngineMail, Link};
 use super::execution::Execution;
+use super::peers::Peer;
 use super::queues::{Act, Queues};
+use super::shares::{self, Sharing};
 use super::{Answer, End, ExecutionKey, ExecutionMail, ModuleMail, Shown};
 use crate::life::clock::Clock;
 use crate::memory::engines::{EngineIds, id_as_number};
@@ -102,14 +104,19 @@
     /// Cores by kind, and by engine where it is ready.
     kind_cores: Vec<f64>,
     cores: Vec<f64>,
+    /// This gateway's part of them: an even one, or what it holds.
+    cores_part: f64,
     gateways: f64,
     /// Statements that the module has dropped, for the teams' queues; with their work and time.
     over: Vec<(StmtIx, Option<Nanos>, Option<Nanos>)>,
     has_queues: bool,
     /// Where gateways talk.
     keeper: Option<Keeper>,
-    /// Of the engines' ids, by index.
+    sharing: Option<Sharing>,
+    allowances: Vec<f64>,
+    /// Of the engines' ids, by index; and whether they are ready by the list.
     numbers: Vec<u64>,
+    ready: Vec<bool>,
     permits: Rc<Permits>,
     opened: Rc<Opened>,
     module: Sender<ModuleMail>,
@@ -120,6 +127,7 @@
 pub struct Parts {
     pub budgets: Option<Budgets>,
     pub keeper: Option<Keeper>,
+    pub sharing: Option<Sharing>,
     pub permits: Rc<Permits>,
     pub opened: Rc<Opened>,
 }
@@ -146,7 +154,7 @@
         module: Sender<ModuleMail>,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Module {
-        let Parts { budgets, keeper, permits, opened } = parts;
+        let Parts { budgets, keeper, sharing, permits, opened } = parts;
         let now = clock.now();
         let has_queues = budgets.is_some();
         let customers = given.names.customers.clone();
@@ -172,7 +180,11 @@
                 over: Vec::new(),
                 has_queues,
                 keeper,
+                sharing,
+                allowances: given.facts.customers.iter().map(|c| c.allowance_per_s).collect(),
+                cores_part: 1.0 / given.facts.gateways.max(1) as f64,
                 numbers: Vec::new(),
+                ready: Vec::new(),
                 permits,
                 opened,
                 module,
@@ -193,7 +205,8 @@
         loop {
             let wake = self.queues.as_ref().and_then(Queues::next_wake);
             let keeper = self.world.keeper.as_ref().map(Keeper::next_wake).filter(|&at| at < Nanos::MAX);
-            let due = self.world.timers.next().into_iter().chain(wake).chain(keeper).min();
+            let sharing = self.world.sharing.as_ref().map(Sharing::next_wake);
+            let due = self.world.timers.next().into_iter().chain(wake).chain(keeper).chain(sharing).min();
             let due = due.map(|at| self.world.clock.instant(at));
             let timer = async {
                 match due {
@@ -219,10 +232,41 @@
                 queues.woken(self.world.now);
             }
             self.keeper_woken();
+            self.sharing_woken();
             self.settle();
         }
     }
 
+    fn sharing_woken(&mut self) {
+        let Module { queues, world, .. } = self;
+        let World { sharing: Some(sharing), now, cores, .. } = world else { return };
+        if let Some(queues) = queues {
+            sharing.needs_cores(*now, queues.cores_wanted(), cores.iter().sum());
+        }
+        sharing.woken(*now);
+    }
+
+    /// Does what sharing asks for.
+    fn settle_sharing(&mut self) {
+        let Module { queues, gateway, world } = self;
+        while let Some(act) = world.sharing.as_mut().and_then(Sharing::next_act) {
+            match act {
+                shares::Act::Part(shares::CORES, part) => {
+                    world.cores_part = part;
+                    if let Some(queues) = queues {
+                        queues.capacity(world.now, world.cores.iter().sum::<f64>() * part);
+                    }
+                }
+                shares::Act::Part(bound, part) => gateway.set_part(bound - shares::FIRST_ALLOWANCE, part),
+                shares::Act::Advise(engine, advice) => {
+                    if let Some(ix) = world.numbers.iter().position(|&number| number == engine) {
+                        gateway.advised(EngineIx(ix), advice, world);
+                    }
+                }
+            }
+        }
+    }
+
     fn keeper_woken(&mut self) {
         let World { keeper: Some(keeper), now, .. } = &mut self.world else { return };
         keeper.woken(*now);
@@ -439,8 +483,11 @@
     /// Does what the teams' queues ask for, and tells them what came of it, until nothing is left.
     fn settle(&mut self) {
         self.settle_queues();
-        while self.world.keeper.as_mut().is_some_and(|keeper| keeper.has_acts()) {
+        while self.world.keeper.as_ref().is_some_and(Keeper::has_acts)
+            || self.world.sharing.as_ref().is_some_and(Sharing::has_acts)
+        {
             self.settle_custody();
+            self.settle_sharing();
             self.settle_queues();
         }
     }
@@ -490,6 +537,10 @@
         match mail {
             ModuleMail::Arrived { connection, fields, workload, customer, at, client } => {
                 let deadline = (at + fields.timeout_ms * MS).min(world.answer_by);
+                if let Some(sharing) = &mut world.sharing {
+                    let allowance = world.allowances.get(customer).copied().unwrap_or(0.0);
+                    sharing.arrived(customer, allowance);
+                }
                 if world.keeper.is_some() {
                     self.arrive_known(connection, fields, (workload, customer), deadline, client);
                 } else {
@@ -517,9 +568,28 @@
             }
             ModuleMail::Peer(peer) => {
                 if let Some(keeper) = &mut world.keeper {
-                    keeper.peer(now, peer);
+                    keeper.peer(now, &peer);
+                }
+                if let Some(sharing) = &mut world.sharing {
+                    match peer {
+                        Peer::Up { place, birth } => sharing.member_up(now, place, birth),
+                        Peer::Down { place, birth } => sharing.member_down(now, place, birth),
+                        Peer::Shared { from, message, _receipt } => sharing.heard(now, from, *message),
+                        Peer::Gossip(gossip, _taken) => sharing.gossip(now, *gossip),
+                        Peer::Heard { .. } | Peer::Suspected { .. } => {}
+                    }
                 }
             }
+            ModuleMail::Journal { event } => {
+                if let Some(sharing) = &mut world.sharing {
+                    sharing.journal(now, event);
+                }
+            }
+            ModuleMail::ShowFleet { client } => {
+                let view = world.sharing.as_ref().map(|sharing| sharing.view(now));
+                let text = view.and_then(|view| serde_json::to_string(&view).ok()).unwrap_or_default();
+                let _ = client.try_send(text);
+            }
             ModuleMail::Kill { connection } => {
                 if let Some(stmt) = world.stmts.of_connection(connection) {
                     world.answer(stmt, Answer::Killed);
@@ -624,6 +694,11 @@
         let due = Due::ExecutionTimesOut { stmt: key.stmt.0, serial: key.serial, number: key.number };
         world.timers.unset(out.times_out_at, due);
         world.tell_custody(key, end.outcome.never_ran());
+        if let Some(sharing) = &mut world.sharing
+            && let Some(&number) = world.numbers.get(key.engine.0)
+        {
+            sharing.ended(world.now, number, end.outcome, key.number == 0);
+        }
         if let Some(rows) = end.rows {
             world.answer(key.stmt, Answer::Completed(rows));
         }
@@ -665,7 +740,22 @@
         gateway.engines_listed(world.now, kind, &rows, world);
         if let Some(queues) = queues {
             let cores = world.cores_listed(kind, &rows);
-            queues.capacity(world.now, cores / world.gateways);
+            queues.capacity(world.now, cores * world.cores_part);
+        }
+        for row in &rows {
+            let ready = row.phase == EnginePhase::Ready;
+            world.ready.resize(world.ready.len().max(row.engine.0 + 1), false);
+            world.ready[row.engine.0] = ready;
+        }
+        if kind != ListKind::Delta {
+            for (ix, ready) in world.ready.iter_mut().enumerate() {
+                *ready &= rows.iter().any(|row| row.engine.0 == ix);
+            }
+        }
+        if let Some(sharing) = &mut world.sharing {
+            let all = world.numbers.iter().zip(&world.ready);
+            let ready: Vec<u64> = all.filter(|(_, ready)| **ready).map(|(&number, _)| number).collect();
+            sharing.listed(&ready);
         }
         let World { engines, mailboxes, .. } = world;
         engines.keep(|ix| gateway.names(ix) || mailboxes.get(ix.0).is_some_and(Option::is_some));
--- a/crates/ivypitch-gateway/src/actors/peers.rs
+++ b/crates/ivypitch-gateway/src/actors/peers.rs
@@ -12,8 +12,9 @@
 use async_io::{Async, Timer};
 use bytes::{Bytes, BytesMut};
 use futures_lite::{AsyncWriteExt, FutureExt};
-use ivypitch_custody::{Message, VERSION};
+use ivypitch_custody::Message;
 use ivypitch_members::{Members, News, Roster, State, Terms};
+use ivypitch_shares::Gossip;
 
 use super::ModuleMail;
 use super::session::read_some;
@@ -34,6 +35,10 @@
 /// Links that others may have opened to here at once, over the number of seats.
 const MORE_LINKS: usize = 32;
 const LARGEST_DATAGRAM: usize = 2048;
+/// Datagrams of what is shared that the module has not taken yet; then they are dropped.
+const MOST_GOSSIP: usize = 256;
+/// Of all that gateways say to each other: members of another version are not spoken to.
+pub const VERSION: u16 = ivypitch_custody::VERSION * 100 + ivypitch_shares::VERSION;
 
 /// To this actor.
 pub enum PeersMail {
@@ -41,6 +46,15 @@
         to: u16,
         message: Message,
     },
+    /// Of what is shared: on the link, and as a datagram.
+    Say {
+        to: u16,
+        message: ivypitch_shares::Message,
+    },
+    Gossip {
+        to: u16,
+        gossip: Gossip,
+    },
     /// This process ends.
     Leave,
     Linked {
@@ -57,6 +71,8 @@
 /// What the module hears of peers.
 pub enum Peer {
     Heard { from: u16, message: Box<Message>, _receipt: Receipt },
+    Shared { from: u16, message: Box<ivypitch_shares::Message>, _receipt: Receipt },
+    Gossip(Box<Gossip>, Taken),
     Up { place: u16, birth: u64 },
     Down { place: u16, birth: u64 },
     Suspected { place: u16, is: bool },
@@ -71,6 +87,15 @@
     }
 }
 
+/// Dropped as the module has taken the datagram.
+pub struct Taken(Rc<Cell<usize>>);
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
 /// What is to be written on a link.
 #[derive(Clone)]
 pub struct Outbox {
@@ -111,6 +136,7 @@
     suspected: Vec<bool>,
     /// A peer whose link is full is told of once.
     full: BTreeMap<u16, u64>,
+    gossip_waits: Rc<Cell<usize>>,
 }
 
 impl Peers {
@@ -154,6 +180,7 @@
             links: BTreeMap::new(),
             suspected: vec![false; seats],
             full: BTreeMap::new(),
+            gossip_waits: Rc::default(),
         };
         executor.spawn(accept(listener, shared)).detach();
         executor.spawn(peers.run(letters)).detach();
@@ -177,7 +204,17 @@
             let step = mail.or(came).or(timer).await;
             let now = self.shared.clock.now();
             match step {
-                Step::Datagram(n) => self.members.datagram(now, &datagram[..n]),
+                Step::Datagram(n) => match peers::read_gossip(&datagram[..n]) {
+                    None => self.members.datagram(now, &datagram[..n]),
+                    Some(Some(gossip)) if self.gossip_waits.get() < MOST_GOSSIP => {
+                        self.gossip_waits.set(self.gossip_waits.get() + 1);
+                        let taken = Taken(self.gossip_waits.clone());
+                        let heard = Peer::Gossip(Box::new(gossip), taken);
+                        let _ = self.shared.module.try_send(ModuleMail::Peer(heard));
+                    }
+                    // Not readable, or more than the module takes: dropped, as a network would.
+                    Some(_) => {}
+                },
                 Step::Mail(mail) => self.take(*mail),
                 Step::Woken => {}
                 Step::End => return,
@@ -231,7 +268,13 @@
 
     fn take(&mut self, mail: PeersMail) {
         match mail {
-            PeersMail::Tell { to, message } => self.tell(to, &message),
+            PeersMail::Tell { to, message } => self.tell(to, &Frame::Body(message)),
+            PeersMail::Say { to, message } => self.tell(to, &Frame::Shares(message)),
+            PeersMail::Gossip { to, gossip } => {
+                if let Some(seat) = self.shared.roster.seats.get(usize::from(to)) {
+                    let _ = self.datagrams.get_ref().send_to(&peers::write_gossip(&gossip), seat.address);
+                }
+            }
             PeersMail::Leave => self.members.leave(self.shared.clock.now()),
             PeersMail::Linked { place, outbox, by_them } => {
                 // One link a pair: where both opened one, that of the lower place stays.
@@ -248,7 +291,7 @@
         }
     }
 
-    fn tell(&mut self, to: u16, message: &Message) {
+    fn tell(&mut self, to: u16, frame: &Frame) {
         let Some(seat) = self.shared.roster.seats.get(usize::from(to)) else { return };
         let address = seat.address;
         let link = self.links.entry(to).or_insert_with(|| {
@@ -257,7 +300,7 @@
             self.shared.executor.spawn(task).detach();
             outbox
         });
-        let frame = peers::write(&Frame::Body(message.clone()));
+        let frame = peers::write(frame);
         if link.waiting.get() + frame.len() > MOST_WAITING {
             if self.full.insert(to, link.serial) != Some(link.serial) {
                 log::warn!("member {} does not read: messages to it are dropped", self.shared.name(to));
@@ -428,13 +471,19 @@
             if !std::mem::replace(&mut greeted, true) && shared.spoken_to(&frame) != Some(place) {
                 return;
             }
-            if let Frame::Body(message) = frame {
+            if let Frame::Body(_) | Frame::Shares(_) = frame {
                 // Nothing more is read until the module has taken enough of what came before.
                 if untaken.send(()).await.is_err() {
                     return;
                 }
-                let (message, _receipt) = (Box::new(message), Receipt(receipts.clone()));
-                let heard = Peer::Heard { from: place, message, _receipt };
+                let _receipt = Receipt(receipts.clone());
+                let heard = match frame {
+                    Frame::Body(message) => Peer::Heard { from: place, message: Box::new(message), _receipt },
+                    Frame::Shares(message) => {
+                        Peer::Shared { from: place, message: Box::new(message), _receipt }
+                    }
+                    Frame::Hello { .. } | Frame::Beat => return,
+                };
                 let _ = shared.module.try_send(ModuleMail::Peer(heard));
             }
             silent_at = Instant::now() + SILENT;
--- a/crates/ivypitch-gateway/src/actors/queues.rs
+++ b/crates/ivypitch-gateway/src/actors/queues.rs
@@ -51,6 +51,11 @@
         Queues { teams: Teams::new(budgets, seed, now), acts: Acts { asked: VecDeque::new(), customers } }
     }
 
+    /// Threads that are out and that wait: the cores that would be used now.
+    pub fn cores_wanted(&self) -> f64 {
+        self.teams.threads_out() + self.teams.threads_queued()
+    }
+
     /// The next thing asked for.
     pub fn next_act(&mut self) -> Option<Act> {
         self.acts.asked.pop_front()
--- a/crates/ivypitch-gateway/src/actors/session.rs
+++ b/crates/ivypitch-gateway/src/actors/session.rs
@@ -68,6 +68,7 @@
     open: Cell<usize>,
     /// Clients may ask what waits.
     show: Cell<bool>,
+    show_fleet: Cell<bool>,
     fewer: (Sender<()>, Receiver<()>),
 }
 
@@ -89,10 +90,15 @@
             seats: RefCell::new(Seats::new(bounds.clients + bounds.told)),
             open: Cell::new(0),
             show: Cell::new(false),
+            show_fleet: Cell::new(false),
             fewer: async_channel::bounded(1),
         })
     }
 
+    pub fn show_fleet(&self, on: bool) {
+        self.show_fleet.set(on);
+    }
+
     pub fn show(&self, on: bool) {
         self.show.set(on);
     }
@@ -250,6 +256,9 @@
         if let Some(asked) = mysql::show_waits(&text).filter(|_| sessions.show.get()) {
             return self.show(asked, sequence).await;
         }
+        if sessions.show_fleet.get() && mysql::is_show_fleet(&text) {
+            return self.show_fleet(sequence).await;
+        }
         let names = &sessions.names;
         let index = |list: &[String], name: &Bytes| list.iter().position(|n| n.as_bytes() == &name[..]);
         let read = fields::read(&text).and_then(|fields| {
@@ -303,6 +312,18 @@
     }
 
     /// What waits in the teams' queues; no engine hears of it.
+    /// What is shared, as one row of JSON: other programs lay two gateways' views beside each other.
+    async fn show_fleet(&mut self, sequence: u8) -> Result<(), Over> {
+        let (client, shown) = async_channel::bounded(1);
+        let _ = self.sessions.module.try_send(ModuleMail::ShowFleet { client });
+        let view = shown.recv().await.map_err(|_| Over::Closed)?;
+        let mut writer = self.writer(sequence);
+        writer.columns(&[b"view"]);
+        writer.row([view.as_bytes()].into_iter());
+        writer.eof();
+        Ok(())
+    }
+
     async fn show(&mut self, asked: ShowWaits, sequence: u8) -> Result<(), Over> {
         let (client, shown) = async_channel::bounded(1);
         let req = match asked {
--- /dev/null
+++ b/crates/ivypitch-gateway/src/actors/shares.rs
@@ -0,0 +1,138 @@
+//! Between the module's actor and `ivypitch_shares`: keeps what it asked for until the module's actor does it. Nothing is
+//! decided here.
+
+use std::collections::VecDeque;
+
+use async_channel::Sender;
+use bytes::Bytes;
+use ivypitch::interface::{Advice, Nanos, Outcome};
+use ivypitch_shares::{Gossip, Message, Output, Saw, Shares, View};
+
+use super::list::ListMail;
+use super::peers::PeersMail;
+
+/// The bound on cores; behind it those of the customers' allowances, in their order.
+pub const CORES: usize = 0;
+pub const FIRST_ALLOWANCE: usize = 1;
+
+/// What the module's actor is asked to do.
+#[derive(Debug)]
+pub enum Act {
+    Part(usize, f64),
+    Advise(u64, Advice),
+}
+
+struct Acts {
+    asked: VecDeque<Act>,
+    peers: Sender<PeersMail>,
+    list: Sender<ListMail>,
+}
+
+impl Output for Acts {
+    fn say(&mut self, to: u16, message: Message) {
+        let _ = self.peers.try_send(PeersMail::Say { to, message });
+    }
+    fn gossip(&mut self, to: u16, gossip: Gossip) {
+        let _ = self.peers.try_send(PeersMail::Gossip { to, gossip });
+    }
+    fn part(&mut self, bound: usize, part: f64) {
+        self.asked.push_back(Act::Part(bound, part));
+    }
+    fn advise(&mut self, engine: u64, advice: Advice) {
+        self.asked.push_back(Act::Advise(engine, advice));
+    }
+    fn event(&mut self, _number: u64, line: &[u8]) {
+        let _ = self.list.try_send(ListMail::Event(Bytes::copy_from_slice(line)));
+    }
+    fn log(&mut self, line: &str) {
+        log::info!("{line}");
+    }
+}
+
+pub struct Sharing {
+    shares: Shares,
+    acts: Acts,
+}
+
+impl Sharing {
+    pub fn new(shares: Shares, peers: Sender<PeersMail>, list: Sender<ListMail>) -> Sharing {
+        Sharing { shares, acts: Acts { asked: VecDeque::new(), peers, list } }
+    }
+
+    pub fn next_act(&mut self) -> Option<Act> {
+        self.acts.asked.pop_front()
+    }
+
+    pub fn has_acts(&self) -> bool {
+        !self.acts.asked.is_empty()
+    }
+
+    pub fn member_up(&mut self, now: Nanos, place: u16, birth: u64) {
+        self.shares.member_up(now, place, birth, &mut self.acts);
+    }
+
+    pub fn member_down(&mut self, now: Nanos, place: u16, birth: u64) {
+        self.shares.member_down(now, place, birth, &mut self.acts);
+    }
+
+    pub fn heard(&mut self, now: Nanos, from: u16, message: Message) {
+        self.shares.heard(now, from, message, &mut self.acts);
+    }
+
+    pub fn gossip(&mut self, now: Nanos, gossip: Gossip) {
+        self.shares.gossip(now, gossip, &mut self.acts);
+    }
+
+    pub fn listed(&mut self, ready: &[u64]) {
+        self.shares.listed(ready);
+    }
+
+    /// A customer's statement came; of its whole allowance a second.
+    pub fn arrived(&mut self, customer: usize, allowance_per_s: f64) {
+        let bound = FIRST_ALLOWANCE + customer;
+        let units = f64::from(self.shares.units(bound));
+        if allowance_per_s > 0.0 {
+            self.shares.wanted(bound, units / allowance_per_s);
+        }
+    }
+
+    /// The teams' queues hold and want so many of all cores.
+    pub fn needs_cores(&mut self, now: Nanos, cores: f64, all: f64) {
+        let units = f64::from(self.shares.units(CORES));
+        self.shares.needs(now, CORES, units * (cores / all.max(1.0)).min(1.0));
+    }
+
+    /// What an outcome says of its engine; some say nothing.
+    pub fn ended(&mut self, now: Nanos, engine: u64, outcome: Outcome, first: bool) {
+        let saw = match outcome {
+            Outcome::Completed => Saw::Success,
+            // A statement that is wrong itself fails wherever it runs: of its errors the first alone counts.
+            Outcome::Error if !first => return,
+            Outcome::Error | Outcome::TimedOut => Saw::Failure,
+            Outcome::ConnectFailed | Outcome::Reset => Saw::Unreached,
+            Outcome::Full | Outcome::Cancelled | Outcome::Moot => return,
+        };
+        self.shares.saw(now, engine, saw);
+    }
+
+    pub fn journal(&mut self, now: Nanos, event: Option<(u64, Bytes)>) {
+        match event {
+            Some((number, line)) => self.shares.event_taken(now, number, &line),
+            None => self.shares.journal_heard(now),
+        }
+    }
+
+    pub fn next_wake(&self) -> Nanos {
+        self.shares.next_wake()
+    }
+
+    pub fn woken(&mut self, now: Nanos) {
+        if self.shares.next_wake() <= now {
+            self.shares.woken(now, &mut self.acts);
+        }
+    }
+
+    pub fn view(&self, now: Nanos) -> View {
+        self.shares.view(now)
+    }
+}
--- a/crates/ivypitch-gateway/src/life/program.rs
+++ b/crates/ivypitch-gateway/src/life/program.rs
@@ -1,5 +1,6 @@
 //! The program from start to exit.
 
+use std::cell::Cell;
 use std::fmt;
 use std::future::Future;
 use std::net::{SocketAddr, TcpListener};
@@ -23,8 +24,9 @@
 use super::configuration::{self, Configuration};
 use super::own::OwnFile;
 use crate::actors::custody::Keeper;
-use crate::actors::list::List;
+use crate::actors::list::{List, ListMail};
 use crate::actors::peers;
+use crate::actors::shares::Sharing;
 use crate::actors::{ModuleMail, module, session};
 use crate::memory::opened::Opened;
 use crate::memory::permits::Permits;
@@ -71,7 +73,7 @@
     opened: Rc<Opened>,
     listener: Rc<Async<TcpListener>>,
     module: Sender<ModuleMail>,
-    list: Sender<SocketAddr>,
+    list: Sender<ListMail>,
     signals: Signals,
     configuration: PathBuf,
     journal: Option<SocketAddr>,
@@ -117,15 +119,25 @@
         let kept = Rc::new(given.clone());
         let sessions = session::Sessions::new(bounds, given.names.clone(), clock, module.clone(), seed);
         sessions.show(show && has_queues);
-        let follower = List { last: known.pos, longest_line: bounds.journal_line, module: module.clone() };
+        let sharing_on = own
+            .as_ref()
+            .is_some_and(|(_, own)| own.peers.as_ref().is_some_and(|p| p.enabled && p.shares.enabled));
+        sessions.show_fleet(sharing_on);
+        let follower = List {
+            last: Cell::new(known.pos),
+            longest_line: bounds.journal_line,
+            module: module.clone(),
+            shares: sharing_on,
+        };
+        let (list, list_mail) = async_channel::unbounded();
         let permits = Permits::new(bounds.engines);
         let talk =
             own.as_ref().and_then(|(file, own)| Some((file, own.peers.as_ref().filter(|p| p.enabled)?)));
-        let mut keeper = None;
+        let (mut keeper, mut sharing) = (None, None);
         if let Some((file, own)) = talk {
             let peering = own.peering(&name).map_err(|faults| told(file, faults))?;
             let (now, birth) = (clock.now(), clock.now() / 1_000_000);
-            let zones = peering.roster.seats.iter().map(|seat| seat.zone).collect();
+            let zones: Vec<u16> = peering.roster.seats.iter().map(|seat| seat.zone).collect();
             let place = peering.place;
             let start = peers::Start {
                 roster: peering.roster,
@@ -136,6 +148,12 @@
                 seed,
             };
             let mailbox = peers::Peers::start(start, clock, module.clone(), executor.clone())?;
+            if own.shares.enabled {
+                let terms = own.shares.terms(zones.len(), &given.names.customers);
+                let me = ivypitch_shares::Process { place, birth };
+                let shares = ivypitch_shares::Shares::new(me, zones.clone(), terms, known.pos, seed, now);
+                sharing = Some(Sharing::new(shares, mailbox.clone(), list.clone()));
+            }
             if own.custody.enabled {
                 let terms = own.custody.terms(longest_timeout);
                 let custody = ivypitch_custody::Custody::new(place, birth, zones, terms, now);
@@ -143,11 +161,10 @@
             }
         }
         let opened = Rc::new(Opened::default());
-        let parts = module::Parts { budgets, keeper, permits, opened: opened.clone() };
+        let parts = module::Parts { budgets, keeper, sharing, permits, opened: opened.clone() };
         let actor = module::Module::new(given, parts, seed, clock, module.clone(), executor.clone());
         executor.spawn(actor.run(mailbox, known)).detach();
-        let (list, addresses) = async_channel::unbounded();
-        executor.spawn(follower.run(journal, addresses)).detach();
+        executor.spawn(follower.run(journal, list_mail)).detach();
         let program = Program {
             phase: Phase::Starting,
             clock,
@@ -256,7 +273,7 @@
                 log::info!("reload while {}: journal at {journal}", self.phase);
                 if self.journal != Some(journal) {
                     self.journal = Some(journal);
-                    let _ = self.list.try_send(journal);
+                    let _ = self.list.try_send(ListMail::Address(journal));
                 }
             }
             Err(why) => log::error!("reload while {}: nothing changed: {why}", self.phase),
--- a/crates/ivypitch-gateway/src/wire/mysql.rs
+++ b/crates/ivypitch-gateway/src/wire/mysql.rs
@@ -238,6 +238,14 @@
     One(u64),
 }
 
+/// `SHOW FLEET`.
+pub fn is_show_fleet(statement: &[u8]) -> bool {
+    let text = std::str::from_utf8(statement.get(..64).unwrap_or(statement)).unwrap_or_default();
+    let mut words = text.trim_end_matches([';', ' ', '\n']).split_ascii_whitespace();
+    let mut is = |word: &str| words.next().is_some_and(|w| w.eq_ignore_ascii_case(word));
+    is("SHOW") && is("FLEET") && words.next().is_none()
+}
+
 /// `SHOW QUEUE` or `SHOW WAIT 'id'`.
 pub fn show_waits(statement: &[u8]) -> Option<ShowWaits> {
     let text = std::str::from_utf8(statement.get(..64).unwrap_or(statement)).ok()?;
--- a/crates/ivypitch-lab/src/shares_fleet.rs
+++ b/crates/ivypitch-lab/src/shares_fleet.rs
@@ -4,10 +4,10 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 
-use ivypitch::interface::{Nanos, SECOND};
+use ivypitch::interface::{Advice, Nanos, SECOND};
 use ivypitch_gateway::wire::peers;
 use ivypitch_shares::escrow::Terms as Bound;
-use ivypitch_shares::{Advice, Gossip, Message, Output, Process, Saw, Shares, Terms};
+use ivypitch_shares::{BoundTerms, Gossip, Message, Output, Process, Saw, Shares, Terms};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -204,16 +204,20 @@
 const WINDOW_SPAN: Nanos = SECOND;
 
 pub fn terms(gateways: usize) -> Terms {
-    let bound = |window| Bound {
-        units: UNITS_EACH * gateways as u32,
-        members: gateways as u16,
-        floor: 0.1,
-        window,
-        span: SPAN_OF_LOAN,
-        drift: 0.01,
+    let bound = |name: &str, window| BoundTerms {
+        name: name.into(),
+        terms: Bound {
+            units: UNITS_EACH * gateways as u32,
+            members: gateways as u16,
+            floor: 0.1,
+            window,
+            span: SPAN_OF_LOAN,
+            drift: 0.01,
+        },
+        counts_over: window,
     };
     Terms {
-        bounds: vec![("level".into(), bound(0)), ("window".into(), bound(WINDOW_SPAN))],
+        bounds: vec![bound("level", 0), bound("window", WINDOW_SPAN)],
         bytes_a_second: 40_000.0,
         most_engines: 200,
         most_events: 256,
--- a/crates/ivypitch-shares/src/shares.rs
+++ b/crates/ivypitch-shares/src/shares.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use ivypitch::interface::{Nanos, SECOND};
+use ivypitch::interface::{Advice, Nanos, SECOND};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -20,10 +20,18 @@
 /// Of these messages: members of another version are not spoken to.
 pub const VERSION: u16 = 1;
 
+#[derive(Clone, Debug)]
+pub struct BoundTerms {
+    /// For whoever looks on.
+    pub name: String,
+    pub terms: escrow::Terms,
+    /// What is wanted is counted over so long; 0: the need is told as a level.
+    pub counts_over: Nanos,
+}
+
 #[derive(Clone, Debug)]
 pub struct Terms {
-    /// By bound: its name for whoever looks on, and its terms.
-    pub bounds: Vec<(String, escrow::Terms)>,
+    pub bounds: Vec<BoundTerms>,
     pub bytes_a_second: f64,
     pub most_engines: usize,
     pub most_events: usize,
@@ -52,17 +60,6 @@
     Unreached,
 }
 
-/// What the module is told of an engine.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Advice {
-    /// Nothing is sent to it, but for trials.
-    pub is_out: bool,
-    /// This member is one of those that try it now.
-    pub tries: bool,
-    /// Others met it lately and it went well: own outcomes from before say nothing any more.
-    pub is_well: bool,
-}
-
 pub trait Output {
     fn say(&mut self, to: u16, message: Message);
     fn gossip(&mut self, to: u16, gossip: Gossip);
@@ -136,7 +133,7 @@
     /// `zones`: of each seat of the list. `journal`: the number of the last event that is known.
     pub fn new(me: Process, zones: Vec<u16>, terms: Terms, journal: u64, seed: u64, now: Nanos) -> Shares {
         let members = zones.len();
-        let bounds = terms.bounds.iter().map(|(_, terms)| Bound::new(me.place, terms, now)).collect();
+        let bounds = terms.bounds.iter().map(|bound| Bound::new(me.place, &bound.terms, now)).collect();
         Shares {
             me,
             heard: vec![None; members],
@@ -208,7 +205,7 @@
                 .bounds
                 .iter()
                 .zip(&self.terms.bounds)
-                .map(|(bound, (name, terms))| {
+                .map(|(bound, BoundTerms { name, terms, .. })| {
                     format!("{name} {:.4}", f64::from(bound.escrow.held()) / f64::from(terms.units.max(1)))
                 })
                 .collect();
@@ -256,12 +253,17 @@
         self.bounds.get(bound).map_or(0, |bound| bound.escrow.held())
     }
 
+    /// Units of the whole bound.
+    pub fn units(&self, bound: usize) -> u32 {
+        self.terms.bounds.get(bound).map_or(0, |bound| bound.terms.units)
+    }
+
     fn look(&mut self, now: Nanos, out: &mut dyn Output) {
         let mut said: BTreeMap<u16, Vec<(u16, Word)>> = BTreeMap::new();
         for (i, bound) in self.bounds.iter_mut().enumerate() {
-            let terms = &self.terms.bounds[i].1;
+            let counts_over = self.terms.bounds[i].counts_over;
             let mut say = |to: u16, word: Word| said.entry(to).or_default().push((i as u16, word));
-            bound.look(now, terms.window, &self.places, &mut self.rng, &mut say);
+            bound.look(now, counts_over, &self.places, &mut self.rng, &mut say);
         }
         self.send(said, out);
         self.tell_parts(out);
@@ -278,7 +280,7 @@
 
     fn tell_parts(&mut self, out: &mut dyn Output) {
         for (i, bound) in self.bounds.iter().enumerate() {
-            let part = f64::from(bound.escrow.held()) / f64::from(self.terms.bounds[i].1.units.max(1));
+            let part = f64::from(bound.escrow.held()) / f64::from(self.terms.bounds[i].terms.units.max(1));
             if part != self.parts[i] {
                 self.parts[i] = part;
                 out.part(i, part);
@@ -381,8 +383,12 @@
     }
 
     /// The journal, or a member, told the next event and it was taken.
-    pub fn event_taken(&mut self, number: u64, line: &[u8]) {
-        self.news.taken(number, line);
+    pub fn event_taken(&mut self, now: Nanos, number: u64, line: &[u8]) {
+        if number > self.news.last() {
+            self.news.taken(number, line);
+            // Others may not hear the journal: that there is news goes out at once.
+            self.spread.hurry(now);
+        }
     }
 
     // ---- what is heard ----
@@ -413,7 +419,7 @@
                 for (number, line) in events {
                     if number == self.news.last() + 1 {
                         self.news.by_members += 1;
-                        self.news.taken(number, &line);
+                        self.event_taken(now, number, &line);
                         out.event(number, &line);
                     }
                 }
@@ -527,7 +533,7 @@
     // ---- for whoever looks on ----
 
     pub fn view(&self, now: Nanos) -> View {
-        let bound = |(bound, (name, terms)): (&Bound, &(String, escrow::Terms))| {
+        let bound = |(bound, BoundTerms { name, terms, .. }): (&Bound, &BoundTerms)| {
             let (lent, borrowed, away) = bound.escrow.parts();
             BoundView {
                 name: name.clone(),
--- a/crates/ivypitch-shares/src/spread.rs
+++ b/crates/ivypitch-shares/src/spread.rs
@@ -170,6 +170,11 @@
         self.next_news = self.next_news.min(soon);
     }
 
+    /// Something beside words is new: the next datagrams go out soon.
+    pub fn hurry(&mut self, now: Nanos) {
+        self.next_news = self.next_news.min(now + EAGER);
+    }
+
     /// Told by a member that repaired a gap here.
     pub fn known_upto(&mut self, upto: &[Known]) {
         for known in upto {
--- a/crates/ivypitch-teams/src/teams.rs
+++ b/crates/ivypitch-teams/src/teams.rs
@@ -208,6 +208,7 @@
     /// Of these, released beyond their teams' shares.
     lent: f64,
     queued: usize,
+    threads_queued: f64,
     bytes: usize,
     virtual_now: u64,
     shares: f64,
@@ -245,6 +246,7 @@
             out: 0.0,
             lent: 0.0,
             queued: 0,
+            threads_queued: 0.0,
             bytes: 0,
             virtual_now: 0,
             shares: 0.0,
@@ -465,6 +467,11 @@
         self.out
     }
 
+    /// Of all that waits.
+    pub fn threads_queued(&self) -> f64 {
+        self.threads_queued
+    }
+
     pub fn window_threads(&self) -> f64 {
         self.window.threads()
     }
@@ -800,6 +807,7 @@
                 row.bytes -= bytes;
                 row.work -= work;
                 self.queued -= 1;
+                self.threads_queued -= threads;
                 self.bytes -= bytes;
             }
             Place::Released | Place::Lent => {
@@ -837,6 +845,7 @@
                 row.bytes += bytes;
                 row.work += work;
                 self.queued += 1;
+                self.threads_queued += threads;
                 self.bytes += bytes;
             }
             Place::Released | Place::Lent => {
--- a/crates/ivypitch/src/interface.rs
+++ b/crates/ivypitch/src/interface.rs
@@ -197,6 +197,17 @@
     }
 }
 
+/// What all gateways together say of an engine, where they talk.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Advice {
+    /// Nothing is sent to it, but for trials.
+    pub is_out: bool,
+    /// This gateway is one of those that try it now.
+    pub tries: bool,
+    /// Others met it lately and it went well: own outcomes from before say nothing any more.
+    pub is_well: bool,
+}
+
 /// One execution's outcome.
 #[derive(Clone, Copy, Debug)]
 pub struct Ended<'a> {
--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -162,6 +162,9 @@
     /// When it was asked for a report that has not come.
     asked: Option<Nanos>,
     failing: bool,
+    /// All gateways together leave it out, and whether this one tries it now.
+    shunned: bool,
+    may_try: bool,
     /// The last few outcomes; the oldest leaves as one comes.
     outcomes: VecDeque<(Nanos, bool)>,
     next_trial: Nanos,
@@ -203,6 +206,8 @@
     further: VecDeque<Nanos>,
     /// What each customer may still send within its share, and when that was worked out.
     allowances: Vec<(f64, Nanos)>,
+    /// This gateway's part of each customer's allowance: an even one, or what it holds where gateways share.
+    parts: Vec<f64>,
     loads_block_others: bool,
     dispatched: Nanos,
     in_hand: usize,
@@ -232,6 +237,7 @@
         Gateway {
             wlms: facts.workloads.iter().map(row).collect(),
             allowances: facts.customers.iter().map(burst).collect(),
+            parts: vec![1.0 / facts.gateways as f64; facts.customers.len()],
             loads_block_others: facts.workloads.iter().any(|w| w.waits_for_loads),
             facts,
             seed,
@@ -283,6 +289,23 @@
         self.engines.get(ix.0).is_some_and(Engine::ready)
     }
 
+    /// What all gateways together say of an engine. One that others found well again is judged anew.
+    pub fn advised(&mut self, ix: EngineIx, advice: Advice, out: &mut dyn Output) {
+        let Some(engine) = self.engines.get_mut(ix.0) else { return };
+        (engine.shunned, engine.may_try) = (advice.is_out, advice.tries);
+        if advice.is_well {
+            engine.outcomes.clear();
+            engine.turn(false, "well with others", 1.0, out);
+        }
+    }
+
+    /// This gateway's part of a customer's allowance from now on.
+    pub fn set_part(&mut self, customer: usize, part: f64) {
+        if let Some(held) = self.parts.get_mut(customer) {
+            *held = part;
+        }
+    }
+
     /// Something hangs on this engine; else its index may stand for another.
     pub fn names(&self, ix: EngineIx) -> bool {
         let ran_there = |s: &Stmt| s.may_have_run.is_some_and(|(first, _)| first == ix);
@@ -449,7 +472,7 @@
         }
         let mut importance = facts.importance;
         if let Some((left, at)) = self.allowances.get_mut(arrival.customer) {
-            let rate = self.facts.customers[arrival.customer].allowance_per_s / self.facts.gateways as f64;
+            let rate = self.facts.customers[arrival.customer].allowance_per_s * self.parts[arrival.customer];
             *left = (*left + rate * seconds(now - *at)).min((rate * ALLOWANCE_BURST_S).max(1.0));
             *at = now;
             if *left >= 1.0 {
@@ -714,7 +737,7 @@
         let stmt = self.stmts[ix.0].as_ref()?;
         let open: Vec<&Engine> =
             self.engines.iter().filter(|e| self.permitted(now, ix, Act::Send(e.row.engine))).collect();
-        let good = open.iter().filter(|e| !e.failing && !e.unanswered(now)).count();
+        let good = open.iter().filter(|e| !e.failing && !e.shunned && !e.unanswered(now)).count();
         let trust_all = (good as f64) < (1.0 - MOST_SUSPECTED) * open.len() as f64;
         let apart = self.loads_block_others && self.facts.workloads[stmt.wlm].is_load;
         let held = open.iter().filter(|e| apart && self.holds(now, e, stmt.group)).count();
@@ -729,7 +752,9 @@
         let mut best: Option<(bool, f64, EngineIx)> = None;
         for engine in &open {
             let at = engine.row.engine;
-            let out = engine.failing && !(trial && now >= engine.next_trial) || engine.unanswered(now);
+            let tried = trial && now >= engine.next_trial;
+            let shunned = engine.shunned && !(tried && engine.may_try);
+            let out = engine.failing && !tried || shunned || engine.unanswered(now);
             if out && !trust_all {
                 continue;
             }
@@ -832,7 +857,7 @@
         engine.out += 1;
         engine.threads[usize::from(wlm.long)] += facts.threads;
         engine.next_trial = now + TRIAL_GAP;
-        self.since_trial = if engine.failing { 0 } else { self.since_trial + 1 };
+        self.since_trial = if engine.failing || engine.shunned { 0 } else { self.since_trial + 1 };
         engine.ema_point = [0, 1].map(|i| ALPHA * stmt.point[i] + (1.0 - ALPHA) * engine.ema_point[i]);
         engine.cold_sends.push_back((now, stmt.cold_work));
         engine.cold_sends.retain(|(at, _)| at + self.facts.overload_window >= now);
