--- a/crates/ivypitch-command/src/main.rs
+++ b/crates/ivypitch-command/src/main.rs
@@ -1,6 +1,7 @@
 //! The command `ivypitch`.
 
 mod check;
+mod fleet;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -26,6 +27,9 @@
     /// Check an own settings file: every fault with its place.
     #[command(after_help = "Example: ivypitch check deploy/ivypitch.ncl --against config.json")]
     Check(check::Check),
+    /// What gateways share, as each sees it, as JSON, and where their views differ.
+    #[command(after_help = "Example: ivypitch fleet 10.0.0.4:3306 10.0.1.4:3306 --differences")]
+    Fleet(fleet::Fleet),
     /// Emulated engines, load and experiments on this machine's loopback addresses.
     #[command(after_help = "Example: ivypitch lab demo")]
     Lab(ivypitch_lab::command::Lab),
@@ -48,6 +52,7 @@
     match Arguments::parse().command {
         Command::Serve(arguments) => serve(arguments),
         Command::Check(arguments) => arguments.run(),
+        Command::Fleet(arguments) => arguments.run(),
         Command::Lab(arguments) => arguments.run(),
     }
 }
--- a/crates/ivypitch-lab/src/experiments.rs
+++ b/crates/ivypitch-lab/src/experiments.rs
@@ -11,6 +11,7 @@
 use crate::faults::Plan;
 use crate::figures::Figures;
 use crate::fleet::{Fleet, Plan as FleetPlan};
+use crate::fleet_cut;
 use crate::gateway_loss;
 use crate::members_fleet;
 use crate::report::{Bound, Report};
@@ -45,6 +46,11 @@
         about: "budgets lent and judgements shared over fault plans, bounds counted where they are used, in virtual time",
         run: shares,
     },
+    Experiment {
+        name: "fleet-cut",
+        about: "real gateways that share, cut and restarted, with traffic ten to one, beside the same without sharing",
+        run: fleet_cut::play,
+    },
     Experiment {
         name: "gateway-loss",
         about: "real gateways and engines, a gateway lost every 3 s while clients come back, beside the same without losses and without peers",
--- a/crates/ivypitch-lab/src/lib.rs
+++ b/crates/ivypitch-lab/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod faults;
 pub mod figures;
 pub mod fleet;
+pub mod fleet_cut;
 pub mod gateway_loss;
 pub mod members_fleet;
 pub mod processes;
--- a/crates/ivypitch-lab/src/processes/mod.rs
+++ b/crates/ivypitch-lab/src/processes/mod.rs
@@ -56,6 +56,9 @@
     pub seed: u64,
     /// Changes the settings of the deployment.
     pub settings: fn(String) -> String,
+    /// Gateways reach the engines with no relay between, all by the address for the first: then what the journal says is
+    /// the same for all.
+    pub direct_engines: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -77,6 +80,7 @@
             own: String::new(),
             seed: 1,
             settings: |settings| settings,
+            direct_engines: false,
         }
     }
 }
@@ -196,7 +200,10 @@
         let (zones, me) = (self.setup.zones, End::Gateway(g));
         let mut engines_at = Vec::new();
         for (e, engine) in self.engines.iter().enumerate() {
-            engines_at.push(self.net.open(me, End::Engine(e), engine.listen[g], false)?);
+            engines_at.push(match self.setup.direct_engines {
+                true => engine.listen[0],
+                false => self.net.open(me, End::Engine(e), engine.listen[g], false)?,
+            });
         }
         let rows: Vec<String> = engines_at
             .iter()
--- a/crates/ivypitch-lab/src/stand_ins.rs
+++ b/crates/ivypitch-lab/src/stand_ins.rs
@@ -169,6 +169,7 @@
     known: BTreeMap<u64, Option<Vec<String>>>,
     mute_starts: bool,
     mute_pages: bool,
+    fail_starts: bool,
 }
 
 impl HeldQueries {
@@ -180,6 +181,9 @@
             self.known.remove(&number);
             return say(204, "", "");
         }
+        if call.is("POST") && self.fail_starts {
+            return say(500, "", "");
+        }
         if call.is("POST") {
             let auto = (number >= 1 << 32).then(|| vec![format!("{id}\tb\tc\n")]);
             self.known.entry(number).or_insert(auto);
@@ -234,6 +238,16 @@
         self.shared.lock().unwrap().mute_starts = is;
     }
 
+    /// Starts end in an error.
+    pub fn fail_starts(&self, is: bool) {
+        self.shared.lock().unwrap().fail_starts = is;
+    }
+
+    /// Starts that came through this gateway's address.
+    pub fn starts_by(&self, gateway: usize) -> usize {
+        self.calls.all().iter().filter(|(by, c)| *by == gateway && c.is("POST")).count()
+    }
+
     /// Pages but the first are not answered.
     pub fn mute_pages(&self, is: bool) {
         self.shared.lock().unwrap().mute_pages = is;
