An hour of members, plans at 300 gateways quicker to play, a roll in gateway-loss; witnesses chosen once

Plans in virtual time begin with fleets that know each other, so that 5,000 at 300 gateways can be played. gateway-loss also ends one gateway after the other, as a release does.

--- a/crates/ivypitch-custody/src/witnesses.rs
+++ b/crates/ivypitch-custody/src/witnesses.rs
@@ -1,6 +1,7 @@
 //! Which members bear witness of a statement: rendezvous hashing of its id over all seats of the list, heard or not,
 //! so that all members name the same ones whatever they see of each other.
 
+use std::cell::RefCell;
 use std::hash::Hasher;
 
 use siphasher::sip::SipHasher13;
@@ -12,8 +13,13 @@
     zones: Vec<u16>,
     count: usize,
     most_of_a_zone: usize,
+    /// Chosen lately, by the id's last bits: an id is asked about some ten times in its life, and choosing looks at all
+    /// seats of the list.
+    lately: RefCell<Vec<Option<(Id, Vec<u16>)>>>,
 }
 
+const LATELY: usize = 1024;
+
 impl Witnesses {
     /// `count` of them for each statement, an odd number; fewer where there are fewer seats. Where the seats have three
     /// zones or more no zone holds a majority of them; where they have two, both hold some.
@@ -28,7 +34,7 @@
             2 => (count / 2 + 1).min(count.saturating_sub(1)).max(1),
             _ => (count / 2).max(1),
         };
-        Witnesses { zones, count, most_of_a_zone }
+        Witnesses { zones, count, most_of_a_zone, lately: RefCell::new(vec![None; LATELY]) }
     }
 
     pub fn count(&self) -> usize {
@@ -41,6 +47,18 @@
 
     /// The witnesses of an id, the first in rank first.
     pub fn of(&self, id: Id) -> Vec<u16> {
+        let place = (id % LATELY as u64) as usize;
+        if let Some((known, chosen)) = &self.lately.borrow()[place]
+            && *known == id
+        {
+            return chosen.clone();
+        }
+        let chosen = self.choose(id);
+        self.lately.borrow_mut()[place] = Some((id, chosen.clone()));
+        chosen
+    }
+
+    fn choose(&self, id: Id) -> Vec<u16> {
         let mut ranked: Vec<(u64, u16)> =
             (0..self.zones.len()).map(|place| (weight(id, place as u16), place as u16)).collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
--- a/crates/ivypitch-lab/src/custody_fleet.rs
+++ b/crates/ivypitch-lab/src/custody_fleet.rs
@@ -374,11 +374,21 @@
     for (i, fault) in plan.faults.iter().enumerate() {
         sim.at(first + fault.at * MS, Event::Fault(i));
     }
+    // All have heard each other, and told each other all, before the first client comes.
+    sim.now = first;
     for by in 0..fleet.gateways {
         for at in (0..fleet.gateways).filter(|&at| at != by) {
-            sim.at(1, Event::Look { by, at });
+            let birth = sim.nodes[at].birth;
+            sim.nodes[by].view[at] = Some(birth);
+            if let Some(custody) = &mut sim.nodes[by].custody {
+                custody.member_up(1, at as u16, birth);
+            }
+        }
+        if let Some(custody) = &mut sim.nodes[by].custody {
+            custody.woken(first, &mut Acts::default());
         }
-        sim.at(2, Event::Wake { at: by, birth: sim.nodes[by].birth });
+        let birth = sim.nodes[by].birth;
+        sim.at(first + 1, Event::Wake { at: by, birth });
     }
     sim.run(first + (fleet.span + 30_000) * MS)
 }
@@ -569,9 +579,7 @@
         if !self.is_up(by) {
             return;
         }
-        let both = self.cuts.get(&(by, at)).is_none_or(|&n| n == 0);
-        let there = self.is_up(at) && !self.nodes[at].stopped && both;
-        let truth = there.then_some(self.nodes[at].birth);
+        let truth = self.truth(by, at);
         let held = self.nodes[by].view[at];
         if truth == held {
             return;
@@ -586,10 +594,18 @@
         }
     }
 
+    /// The process that stands there, if it can be heard.
+    fn truth(&self, by: usize, at: usize) -> Option<u64> {
+        let both = self.cuts.get(&(by, at)).is_none_or(|&n| n == 0);
+        let there = self.is_up(at) && !self.nodes[at].stopped && both;
+        there.then_some(self.nodes[at].birth)
+    }
+
     fn look_soon(&mut self, gateways: &BTreeSet<usize>, low: u64, high: u64) {
         for by in 0..self.fleet.gateways {
             for at in 0..self.fleet.gateways {
-                if by != at && (gateways.contains(&by) || gateways.contains(&at)) {
+                let concerns = gateways.contains(&by) || gateways.contains(&at);
+                if by != at && concerns && self.truth(by, at) != self.nodes[by].view[at] {
                     let span = self.between(low, high);
                     self.after(span, Event::Look { by, at });
                 }
--- a/crates/ivypitch-lab/src/experiments.rs
+++ b/crates/ivypitch-lab/src/experiments.rs
@@ -108,6 +108,22 @@
     let mut report = Report::new("members", seed);
     let sizes: &[(usize, u64)] =
         if quick { &[(3, 30), (30, 30), (100, 20)] } else { &[(3, 300), (30, 300), (300, 300)] };
+    // A living member is lost no more than once an hour: an hour of a large fleet is played.
+    if !quick {
+        let hour = members_fleet::Fleet {
+            members: 300,
+            zones: 3,
+            drop: 0.05,
+            way: (0.2, 3.0),
+            seconds: 3600,
+            kill_each: 0,
+            cut: 0,
+            terms: ivypitch_members::Terms::default(),
+        };
+        let told = members_fleet::play(hour, seed);
+        let what = "virtual time, 300 members, 5% of datagrams dropped, an hour: living members told lost";
+        report.bounds.push(Bound::new(what, told.false_lost as f64, 0.0, 1.0));
+    }
     for &(size, seconds) in sizes {
         let terms = ivypitch_members::Terms::default();
         let calm = members_fleet::Fleet {
@@ -157,7 +173,7 @@
 /// Fault plans by the seed and those that follow it; the first that breaks a promise is printed, cut down.
 fn custody(quick: bool, seed: u64) -> Report {
     let mut report = Report::new("custody", seed);
-    let plans = if quick { 60 } else { 2000 };
+    let plans = if quick { 60 } else { 5000 };
     let nine = custody_fleet::Fleet::default();
     // The plan that the bound on what is carried is meant for: eight gateways, one lost each 3 s.
     let eight = custody_fleet::Fleet { gateways: 8, engines: 6, fault_gap: 3000, ..nine.clone() };
@@ -166,7 +182,7 @@
         (&nine, plans, false, 0.0),
         (&nine, plans, true, 0.0),
         (&eight, plans, true, 0.95),
-        (&large, if quick { 4 } else { 300 }, false, 0.0),
+        (&large, if quick { 4 } else { 5000 }, false, 0.0),
     ];
     for (fleet, plans, losses_only, least) in runs {
         let what = if losses_only { "losses of gateways alone" } else { "all faults" };
@@ -225,7 +241,7 @@
     let base = shares_fleet::Fleet::default();
     let small = shares_fleet::Fleet { gateways: 12, ..base.clone() };
     let large = shares_fleet::Fleet { gateways: 300, engines: 80, span: 8_000, ..base.clone() };
-    let (plans, large_plans) = if quick { (60, 2) } else { (5000, 500) };
+    let (plans, large_plans) = if quick { (60, 2) } else { (5000, 5000) };
     for (fleet, plans) in [(&small, plans), (&base, plans), (&large, large_plans)] {
         let play = |seed: u64| shares_fleet::play(fleet, &shares_fleet::draw(fleet, seed), seed);
         let all = side_by_side(plans, seed, play);
--- a/crates/ivypitch-lab/src/gateway_loss.rs
+++ b/crates/ivypitch-lab/src/gateway_loss.rs
@@ -8,7 +8,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::faults::{Field, Plan};
+use crate::faults::{Fault, Field, Plan, What};
 use crate::processes::clients::{self, Ask, Manners};
 use crate::processes::story::{Verdict, judge};
 use crate::processes::{Engines, Fleet, Setup};
@@ -80,22 +80,31 @@
         Field { gateways: GATEWAYS, zones: 3, engines: ENGINES, span, gap: LOSS_EACH_MS, losses_only: true };
     let plan = Plan::draw(field, seed);
     let none = Plan::default();
+    // One gateway after the other, as a release does.
+    let each = span / (GATEWAYS as u64 + 2);
+    let rolled = (0..GATEWAYS)
+        .map(|gateway| Fault { at: 500 + each * gateway as u64, what: What::End { gateway, back: 400 } })
+        .collect();
+    let rolled = Plan { faults: rolled };
     let runs = thread::scope(|scope| {
         let with = scope.spawn(|| run(setup(seed, true), &plan, span, seed));
         let calm = scope.spawn(|| run(setup(seed, true), &none, span, seed));
         let off = scope.spawn(|| run(setup(seed, false), &plan, span, seed));
-        [with, calm, off].map(|run| run.join().unwrap_or_else(|_| Err("a run failed".into())))
+        let roll = scope.spawn(|| run(setup(seed, true), &rolled, span, seed));
+        [with, calm, off, roll].map(|run| run.join().unwrap_or_else(|_| Err("a run failed".into())))
     });
-    let [with, calm, off] = match runs {
-        [Ok(with), Ok(calm), Ok(off)] => [with, calm, off],
-        [with, calm, off] => {
-            [with, calm, off].into_iter().filter_map(Result::err).for_each(|e| eprintln!("not played: {e}"));
+    let [with, calm, off, roll] = match runs {
+        [Ok(with), Ok(calm), Ok(off), Ok(roll)] => [with, calm, off, roll],
+        runs => {
+            runs.into_iter().filter_map(Result::err).for_each(|e| eprintln!("not played: {e}"));
             report.bounds.push(Bound::new("the runs end", 0.0, 1.0, f64::MAX));
             return report;
         }
     };
     println!("the plan:\n{plan}");
-    for (name, verdict) in [("losses", &with), ("no losses", &calm), ("losses, without peers", &off)] {
+    for (name, verdict) in
+        [("losses", &with), ("no losses", &calm), ("rolled", &roll), ("losses, without peers", &off)]
+    {
         if name != "losses, without peers" {
             verdict.broken.iter().chain(&verdict.crashes).for_each(|line| println!("{name}: {line}"));
         }
@@ -107,7 +116,7 @@
     };
     bound("faults", plan.faults.len() as f64, 1.0, f64::MAX);
     bound("loads", with.loads as f64, 1.0, f64::MAX);
-    for (name, v) in [("losses", &with), ("no losses", &calm)] {
+    for (name, v) in [("losses", &with), ("no losses", &calm), ("rolled", &roll)] {
         bound(&format!("{name}: loads started twice"), v.doubled as f64, 0.0, 0.0);
         bound(&format!("{name}: loads refused that ran"), v.refused_and_ran as f64, 0.0, 0.0);
         bound(&format!("{name}: clients with two ends"), v.two_ends as f64, 0.0, 0.0);
@@ -127,6 +136,8 @@
         0.95,
         1.0,
     );
+    bound("rolled: statements that ran again", roll.again as f64, 0.0, 0.0);
+    bound("rolled: service over that without", roll.service() / calm.service().max(1e-9), 0.99, f64::MAX);
     bound("service", with.service(), 0.0, f64::MAX);
     bound("service over that without losses", with.service() / calm.service().max(1e-9), 0.97, f64::MAX);
     bound("first question by another after a loss, median ms", with.first_ask_p50 as f64, 0.0, f64::MAX);
--- a/crates/ivypitch-lab/src/processes/story.rs
+++ b/crates/ivypitch-lab/src/processes/story.rs
@@ -13,6 +13,8 @@
     pub statements: u64,
     pub loads: u64,
     pub starts: u64,
+    /// Starts of statements that had run before under the same id.
+    pub again: u64,
     /// Loads started more than once under one id.
     pub doubled: u64,
     /// Loads whose clients heard that nothing ran, though it did.
@@ -83,6 +85,7 @@
             let lines = by_id.get(text.as_str()).map_or(&[][..], Vec::as_slice);
             let starts = lines.iter().filter(|l| l.what == "start").count() as u64;
             verdict.starts += starts;
+            verdict.again += starts.saturating_sub(1);
             if ask.load && starts > 1 {
                 verdict.doubled += 1;
                 broken("started twice", req);
--- a/crates/ivypitch-lab/src/shares_fleet.rs
+++ b/crates/ivypitch-lab/src/shares_fleet.rs
@@ -518,9 +518,7 @@
     // ---- members ----
 
     fn look(&mut self, by: usize, at: usize) {
-        let both = self.cuts.get(&(by, at)).is_none_or(|&n| n == 0);
-        let node = &self.nodes[at];
-        let truth = (node.up && !node.stopped && both).then_some(node.birth);
+        let truth = self.truth(by, at);
         let held = self.nodes[by].view[at];
         if truth == held {
             return;
@@ -534,10 +532,18 @@
         }
     }
 
+    /// The process that stands there, if it can be heard.
+    fn truth(&self, by: usize, at: usize) -> Option<u64> {
+        let both = self.cuts.get(&(by, at)).is_none_or(|&n| n == 0);
+        let node = &self.nodes[at];
+        (node.up && !node.stopped && both).then_some(node.birth)
+    }
+
     fn look_soon(&mut self, gateways: &BTreeSet<usize>, low: u64, high: u64) {
         for by in 0..self.fleet.gateways {
             for at in 0..self.fleet.gateways {
-                if by != at && (gateways.contains(&by) || gateways.contains(&at)) {
+                let concerns = gateways.contains(&by) || gateways.contains(&at);
+                if by != at && concerns && self.truth(by, at) != self.nodes[by].view[at] {
                     let span = self.rng.random_range(low * MS..high * MS);
                     self.at(self.now + span, Event::Look { by, at });
                 }
