That nothing ran is said of a load only once no other gateway can have sent it

Seen in the test of ten gateways of thirty: a client came to a gateway that asked dead witnesses, took the statement for new, had no room and answered 1203 'did not run', though it ran at the gateway that was lost. A refusal of a non-idempotent statement now claims it first (one round trip): where a majority seals it and no grant stands, 1203; where one stands, it is watched and its end told; without a majority 1105.

--- a/crates/ivypitch-command/tests/takeover.rs
+++ b/crates/ivypitch-command/tests/takeover.rs
@@ -203,6 +203,30 @@
     assert_eq!(s.held.starts(1), 1);
 }
 
+#[test]
+fn a_refusal_is_told_only_where_no_other_gateway_has_sent_it() {
+    let unasked = PEERS.replace("\"asks_from_ms\":0", "\"asks_from_ms\":100000");
+    let s = scene_of(7, &unasked).voting();
+    // The second gateway bears no witness of it and does not ask.
+    let (req, _) = id_where(7, |all| !all.contains(&1));
+    s.running(0, req);
+    // Its client's connection breaks; the gateway that it comes to has no engine left, and would refuse.
+    s.fleet.tell_state_to(1, 0, "terminating");
+    for other in (1 << 32) + 8000.. {
+        if s.client(1).ask(&statement("lookup", other, LONGEST)).code() == 1203 {
+            break;
+        }
+    }
+    let mut back = s.sent(1, "load", req);
+    s.held.wait_ask(req, 0, &[0]);
+    s.held.end(req);
+    assert_eq!(back.answer(1), rows(req));
+    assert_eq!(s.held.starts(req), 1);
+    // One that nobody has sent is refused, with the word that it did not run.
+    assert_eq!(s.client(1).ask(&statement("load", 9999, LONGEST)).code(), 1203);
+    assert_eq!(s.held.starts(9999), 0);
+}
+
 #[test]
 fn owner_and_first_witness_lost_together() {
     let (req, witnesses) = id_where(7, |all| !all.contains(&0));
--- a/crates/ivypitch-custody/src/custody.rs
+++ b/crates/ivypitch-custody/src/custody.rs
@@ -179,6 +179,10 @@
     serial: u64,
     /// Witnesses have heard of it.
     is_told: bool,
+    /// A majority let this gateway act under its epoch: no other gets a grant under a lower one.
+    sealed: bool,
+    /// Refused here; told once it is sealed that no other has sent it.
+    rejecting: Option<u32>,
     tries: u32,
     wake: Nanos,
     until: Nanos,
@@ -563,9 +567,24 @@
     }
 
     /// The module has answered the statement for which this gateway acts. Clients that wait beside the first get the
-    /// same.
-    pub fn answered(&mut self, now: Nanos, id: Id, word: Word, out: &mut dyn Output) {
-        let Some(case) = self.cases.get_mut(&id).filter(|case| case.acts()) else { return };
+    /// same. `Some`: the client of this token hears later: that nothing ran is said of a non-idempotent statement only once
+    /// it is sealed, since its client may have come from another gateway, which may have sent it.
+    pub fn answered(&mut self, now: Nanos, id: Id, word: Word, out: &mut dyn Output) -> Option<u64> {
+        let alone = self.witnesses.count() == 1;
+        let case = self.cases.get_mut(&id).filter(|case| case.acts())?;
+        if let Word::Rejected { come_back_ms } = word
+            && !case.facts.idempotent
+            && !case.sealed
+            && !alone
+            && let Some(own) = case.own.take()
+        {
+            case.waiters.push(Waiter::Local(own));
+            case.rejecting = Some(come_back_ms);
+            let count = case.epoch.count + 1;
+            self.turn(id, Stage::Orphaned);
+            self.claim(now, id, count, out);
+            return Some(own);
+        }
         let (customer, idempotent, told) = (case.facts.customer, case.facts.idempotent, case.is_told);
         let taken_over = case.stage == Stage::Watched;
         case.own = None;
@@ -601,6 +620,7 @@
         if end == End::Rejected && !told {
             self.forget(id);
         }
+        None
     }
 
     /// The same word to all who wait here and elsewhere.
@@ -956,6 +976,8 @@
         case.grants = grants.into_values().collect();
         let sent = case.grants.iter().rev().find(|grant| !grant.void).copied();
         let (waits, idempotent) = (!case.waiters.is_empty(), case.facts.idempotent);
+        case.sealed = true;
+        let rejecting = case.rejecting.take();
         let left = case.deadline.saturating_sub(now);
         let facts = case.facts.clone();
         let lost_rows = match end {
@@ -986,6 +1008,14 @@
                 self.turn(id, Stage::Kept);
             }
             _ if left == 0 && !waits => self.turn(id, Stage::Closed),
+            // Never granted anywhere, and none can be any more: what was refused here has not run.
+            _ if rejecting.is_some() => {
+                let come_back_ms = rejecting.unwrap_or_default();
+                self.word(id, &Word::Rejected { come_back_ms }, out);
+                self.tell_later(now, id, Some(End::Rejected));
+                self.set_told(id);
+                self.turn(id, Stage::Closed);
+            }
             // Never granted. What is harmless runs at once; else only once its client has come back: it may have been
             // told that it was refused, and then comes under another id.
             _ if idempotent || waits => {
@@ -1013,7 +1043,7 @@
             let (facts, left) = (case.facts.clone(), case.deadline.saturating_sub(now));
             out.adopt(id, &facts, left, None);
         } else {
-            self.answered(now, id, Word::Aborted, out);
+            let _ = self.answered(now, id, Word::Aborted, out);
         }
     }
 
@@ -1166,6 +1196,8 @@
         let Some(case) = self.cases.get_mut(&id) else { return };
         case.at = place;
         case.serial = serial;
+        // What another says of it stands over a refusal here.
+        case.rejecting = None;
         let digest = case.facts.digest;
         self.turn(id, Stage::Elsewhere);
         self.wake_case(id, now + self.terms.ask_again);
@@ -1324,6 +1356,12 @@
                         self.word(id, &Word::Aborted, out);
                     }
                     let Some(case) = self.cases.get(&id) else { continue };
+                    if case.rejecting.is_some() {
+                        // Nobody can say that it did not run; its client may come back with the same id.
+                        self.word(id, &Word::Aborted, out);
+                        self.turn(id, Stage::Closed);
+                        continue;
+                    }
                     if now >= case.deadline {
                         let word = if case.facts.idempotent {
                             Word::Rejected { come_back_ms: 0 }
@@ -1444,6 +1482,8 @@
             at: self.place,
             serial: 0,
             is_told: false,
+            sealed: false,
+            rejecting: None,
             tries: 0,
             wake: 0,
             until: deadline + self.terms.remembered,
--- a/crates/ivypitch-custody/src/witnesses.rs
+++ b/crates/ivypitch-custody/src/witnesses.rs
@@ -15,9 +15,11 @@
     most_of_a_zone: usize,
     /// Chosen lately, by the id's last bits: an id is asked about some ten times in its life, and choosing looks at all
     /// seats of the list.
-    lately: RefCell<Vec<Option<(Id, Vec<u16>)>>>,
+    lately: RefCell<Vec<Choice>>,
 }
 
+type Choice = Option<(Id, Vec<u16>)>;
+
 const LATELY: usize = 1024;
 
 impl Witnesses {
--- a/crates/ivypitch-gateway/src/actors/custody.rs
+++ b/crates/ivypitch-gateway/src/actors/custody.rs
@@ -124,7 +124,8 @@
         self.custody.execution_ended(now, id, number, never_ran);
     }
 
-    pub fn answered(&mut self, now: Nanos, id: Id, answer: &Answer) {
+    /// `Some`: the client of this token hears later.
+    pub fn answered(&mut self, now: Nanos, id: Id, answer: &Answer) -> Option<u64> {
         let word = match answer {
             Answer::Completed(rows) => {
                 Word::Rows(rows.clone().into_pages().map(|page| ByteBuf::from(page.to_vec())).collect())
@@ -132,7 +133,7 @@
             Answer::Rejected { come_back } => Word::Rejected { come_back_ms: (come_back / 1_000_000) as u32 },
             _ => Word::Aborted,
         };
-        self.custody.answered(now, id, word, &mut self.acts);
+        self.custody.answered(now, id, word, &mut self.acts)
     }
 
     pub fn engine_unknown(&mut self, now: Nanos, id: Id) {
--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -354,7 +354,8 @@
         }
         let Ok(fields) = fields::read(&Bytes::from(text)) else {
             log::warn!("custody: statement {id:016x} can't be read again");
-            return keeper.answered(now, id, &Answer::Aborted);
+            let _ = keeper.answered(now, id, &Answer::Aborted);
+            return;
         };
         let index = |list: &[String], name: &Bytes| list.iter().position(|n| n.as_bytes() == &name[..]);
         let workload = index(&world.names.workloads, &fields.kind).unwrap_or(0);
@@ -366,7 +367,9 @@
         let (nobody, _) = async_channel::bounded(1);
         let Ok(stmt) = world.stmts.open(0, fields, (workload, customer), deadline, nobody) else {
             // An execution of it is still out here, under the same id.
-            return keeper.answered(now, id, &Answer::Aborted);
+            log::warn!("custody: statement {id:016x} is open here still");
+            let _ = keeper.answered(now, id, &Answer::Aborted);
+            return;
         };
         world.watch_statement(stmt);
         match at.flatten() {
@@ -404,7 +407,7 @@
             }
             Err(client) => {
                 if let Some(keeper) = &mut world.keeper {
-                    keeper.answered(now, id, &Answer::IdTaken);
+                    let _ = keeper.answered(now, id, &Answer::IdTaken);
                 }
                 let _ = client.try_send(Answer::IdTaken);
             }
@@ -560,7 +563,7 @@
                         return self.settle();
                     }
                     if let Some(keeper) = &mut world.keeper {
-                        keeper.answered(now, id, &Answer::Killed);
+                        let _ = keeper.answered(now, id, &Answer::Killed);
                     }
                     world.stmts.answer(stmt);
                     self.expire(stmt);
@@ -810,13 +813,16 @@
     }
 
     fn answer(&mut self, stmt: StmtIx, answer: Answer) {
-        let id = self.stmts.get(stmt).map(|open| open.fields.req_number());
-        if let Some(client) = self.stmts.answer(stmt) {
-            if let (Some(keeper), Some(id)) = (&mut self.keeper, id) {
-                keeper.answered(self.now, id, &answer);
-            }
-            let _ = client.try_send(answer);
+        let Some(open) = self.stmts.get(stmt) else { return };
+        let (id, connection, deadline) = (open.fields.req_number(), open.connection, open.deadline);
+        let Some(client) = self.stmts.answer(stmt) else { return };
+        if let Some(keeper) = &mut self.keeper
+            && let Some(token) = keeper.answered(self.now, id, &answer)
+        {
+            keeper.waiting.insert(token, Waiting { id, connection, deadline, client, going: None });
+            return;
         }
+        let _ = client.try_send(answer);
     }
 
     fn tell_custody(&mut self, key: ExecutionKey, never_ran: bool) {
--- a/crates/ivypitch-lab/src/custody_fleet.rs
+++ b/crates/ivypitch-lab/src/custody_fleet.rs
@@ -1005,8 +1005,9 @@
             Told::Rejected => Word::Rejected { come_back_ms: 0 },
             Told::Aborted => Word::Aborted,
         };
-        self.with(g, |custody, _, out| custody.answered(now, id, word, out));
-        if let Some(token) = own.token {
+        let mut later = None;
+        self.with(g, |custody, _, out| later = custody.answered(now, id, word, out));
+        if let Some(token) = own.token.filter(|_| later.is_none()) {
             self.tell_client(g, token, told);
         }
     }
