Second clients told less than is known are counted; repairs fit a datagram; what speaks of an engine is decided

A repair could outgrow the datagrams that are read, and call members complete whose words were cut off: both bounded. What an outcome says of its engine, and the sizes of what is shared, moved from the driver and the settings reader to ivypitch-shares.

--- a/crates/ivypitch-deployment/src/own_peers.rs
+++ b/crates/ivypitch-deployment/src/own_peers.rs
@@ -6,6 +6,7 @@
 use ivypitch::interface::Nanos;
 use ivypitch_custody::Policy;
 use ivypitch_members::{Roster, Seat};
+use ivypitch_shares::shares::{MOST_ENGINES, MOST_EVENT_BYTES, MOST_EVENTS, UNITS_EACH};
 use serde::Deserialize;
 
 use crate::schema::{Fault, Field, Kind};
@@ -276,14 +277,8 @@
     }
 }
 
-/// Units of a gateway's even part of a bound: the least that is lent is one of them.
-const UNITS_EACH: u32 = 100;
 /// Allowances are told a second.
 const A_SECOND: Nanos = 1000 * MS;
-/// Events of the journal that are kept for members, and their bytes.
-const MOST_EVENTS: usize = 512;
-const MOST_EVENT_BYTES: usize = 1 << 20;
-const MOST_ENGINES: usize = 1024;
 
 impl OwnShares {
     /// Over the gateways of the list: the cores that the teams' queues share out, then each customer's allowance.
--- a/crates/ivypitch-gateway/src/actors/shares.rs
+++ b/crates/ivypitch-gateway/src/actors/shares.rs
@@ -102,17 +102,11 @@
         self.shares.needs(now, CORES, units * (cores / all.max(1.0)).min(1.0));
     }
 
-    /// What an outcome says of its engine; some say nothing.
-    pub fn ended(&mut self, now: Nanos, engine: u64, outcome: Outcome, first: bool) {
-        let saw = match outcome {
-            Outcome::Completed => Saw::Success,
-            // A statement that is wrong itself fails wherever it runs: of its errors the first alone counts.
-            Outcome::Error if !first => return,
-            Outcome::Error | Outcome::TimedOut => Saw::Failure,
-            Outcome::ConnectFailed | Outcome::Reset => Saw::Unreached,
-            Outcome::Full | Outcome::Cancelled | Outcome::Moot => return,
-        };
-        self.shares.saw(now, engine, saw);
+    /// `is_first`: of its statement.
+    pub fn ended(&mut self, now: Nanos, engine: u64, outcome: Outcome, is_first: bool) {
+        if let Some(saw) = Saw::of(outcome, is_first) {
+            self.shares.saw(now, engine, saw);
+        }
     }
 
     pub fn journal(&mut self, now: Nanos, event: Option<(u64, Bytes)>) {
--- a/crates/ivypitch-lab/src/fleet_cut.rs
+++ b/crates/ivypitch-lab/src/fleet_cut.rs
@@ -95,6 +95,7 @@
         format!("{GATEWAYS} gateways, {ENGINES} engines as processes, {} s, {seeds} seeds", span / 1000);
     let field = Field { gateways: GATEWAYS, zones: 3, engines: ENGINES, span, gap: 1500, losses_only: false };
     let (mut least, mut gains, mut drained_ms, mut broken, mut crashes) = (f64::MAX, 0.0, 0.0f64, 0, 0);
+    let mut drains = 0;
     for seed in seed..seed + seeds {
         let plan = Plan::draw(field, seed);
         let runs = thread::scope(|scope| {
@@ -115,6 +116,7 @@
             println!("the plan:\n{plan}");
             with.verdict.broken.iter().chain(&with.verdict.crashes).for_each(|line| println!("{line}"));
         }
+        drains += plan.faults.iter().filter(|f| matches!(f.what, What::EngineDrains { .. })).count();
         least = least.min(a - b);
         gains += a - b;
         drained_ms = drained_ms.max(with.drained_ms);
@@ -126,6 +128,7 @@
     };
     bound("promises to clients broken", broken as f64, 0.0, 0.0);
     bound("crashes", crashes as f64, 0.0, 0.0);
+    bound("drains played", drains as f64, 0.0, f64::MAX);
     bound("last start at an engine after its drain was told, ms", drained_ms, 0.0, 250.0);
     bound("service over that without sharing, the least of all seeds", least, -0.01, f64::MAX);
     bound("the same, mean", gains / seeds as f64, if quick { -1.0 } else { 0.03 }, f64::MAX);
--- a/crates/ivypitch-lab/src/processes/story.rs
+++ b/crates/ivypitch-lab/src/processes/story.rs
@@ -102,8 +102,9 @@
             }
             let second = story.second.iter().filter(|v| v.req == req);
             let ended = |v: &&super::clients::Visit| matches!(v.heard, Heard::Rows(_) | Heard::Completed);
-            let no_end =
-                |v: &super::clients::Visit| matches!(v.heard, Heard::Refused | Heard::Unknown) && ask.load;
+            let no_end = |v: &super::clients::Visit| v.heard == Heard::Refused && ask.load;
+            let unsure = |v: &super::clients::Visit| v.heard == Heard::Unknown && ask.load;
+            verdict.unsure += u64::from(second.clone().any(unsure));
             let wrong = |v: &super::clients::Visit| matches!(&v.heard, Heard::Rows(row) if *row != text);
             let both = words().any(|v| ended(&v)) && second.clone().any(no_end);
             if both || words().chain(second).any(wrong) {
--- a/crates/ivypitch-shares/src/shares.rs
+++ b/crates/ivypitch-shares/src/shares.rs
@@ -4,7 +4,7 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use ivypitch::interface::{Advice, Nanos, SECOND};
+use ivypitch::interface::{Advice, Nanos, Outcome, SECOND};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -20,6 +20,14 @@
 /// Of these messages: members of another version are not spoken to.
 pub const VERSION: u16 = 1;
 
+/// Units of a gateway's even part of a bound: the least that is lent is one of them.
+pub const UNITS_EACH: u32 = 100;
+/// Events of the journal that are kept for members, and their bytes.
+pub const MOST_EVENTS: usize = 512;
+pub const MOST_EVENT_BYTES: usize = 1 << 20;
+/// Engines of which words are kept.
+pub const MOST_ENGINES: usize = 1024;
+
 #[derive(Clone, Debug)]
 pub struct BoundTerms {
     /// For whoever looks on.
@@ -60,6 +68,20 @@
     Unreached,
 }
 
+impl Saw {
+    /// What an outcome says of its engine, if anything. A statement that is wrong itself fails wherever it runs: of its
+    /// errors only that of its first execution counts.
+    pub fn of(outcome: Outcome, is_first: bool) -> Option<Saw> {
+        match outcome {
+            Outcome::Completed => Some(Saw::Success),
+            Outcome::Error if !is_first => None,
+            Outcome::Error | Outcome::TimedOut => Some(Saw::Failure),
+            Outcome::ConnectFailed | Outcome::Reset => Some(Saw::Unreached),
+            Outcome::Full | Outcome::Cancelled | Outcome::Moot => None,
+        }
+    }
+}
+
 pub trait Output {
     fn say(&mut self, to: u16, message: Message);
     fn gossip(&mut self, to: u16, gossip: Gossip);
@@ -99,6 +121,11 @@
 const JUDGE: Nanos = SECOND / 20;
 /// An engine that is well again is used again by all within this span, by each at a moment of its own.
 const RETURNS: Nanos = 2 * SECOND;
+/// Members and words in a datagram that repairs, and bounds of which each datagram tells what could be lent: so that it
+/// stays under the size that is read.
+const MOST_REPAIRED: usize = 16;
+const MOST_ITEMS: usize = 40;
+const MOST_SPARES: usize = 64;
 /// Words on links to one member that go together.
 const MOST_TOGETHER: usize = 64;
 
@@ -457,8 +484,8 @@
             Gossip::Versions { known, .. } => {
                 let newer = self.spread.newer_than(&known);
                 if !newer.is_empty() {
-                    let upto = newer.iter().filter_map(|k| self.spread.known_of(k.of.place)).collect();
-                    out.gossip(from.place, self.spread.repair(now, self.items_behind(now, &newer), upto));
+                    let (items, upto) = self.items_behind(now, &newer);
+                    out.gossip(from.place, self.spread.repair(now, items, upto));
                 }
                 // They know more of some: they are told what is known here.
                 if self.spread.older_than(&known) {
@@ -469,9 +496,12 @@
         self.next_judge = self.next_judge.min(now + JUDGE);
     }
 
-    fn items_behind(&self, now: Nanos, known: &[Known]) -> Vec<Item> {
-        let mut items = Vec::new();
-        for of in known {
+    /// As many as go into a datagram; members whose words are all among them are told as complete, the others are asked
+    /// for again with the next digest.
+    fn items_behind(&self, now: Nanos, known: &[Known]) -> (Vec<Item>, Vec<Known>) {
+        let (mut items, mut upto) = (Vec::new(), Vec::new());
+        for of in known.iter().take(MOST_REPAIRED) {
+            let before = items.len();
             for &engine in self.table.engines() {
                 let held = self.table.get(engine, of.of.place);
                 let Some((version, sight, seen_at)) = held.filter(|held| held.0 > of.version) else {
@@ -481,9 +511,13 @@
                     items.push(Item { of: of.of, engine, version, age_ms: age_ms(now, seen_at), sight });
                 }
             }
+            if items.len() > MOST_ITEMS {
+                items.truncate(if before == 0 { MOST_ITEMS } else { before });
+                break;
+            }
+            upto.extend(self.spread.known_of(of.of.place));
         }
-        items.truncate(MOST_TOGETHER);
-        items
+        (items, upto)
     }
 
     fn hear_item(&mut self, now: Nanos, delay: Nanos, item: Item) {
@@ -519,7 +553,7 @@
             self.judge(now, out);
         }
         if now >= self.spread.next_wake() {
-            let spares: Vec<u32> = self.bounds.iter().map(Bound::spare).collect();
+            let spares: Vec<u32> = self.bounds.iter().take(MOST_SPARES).map(Bound::spare).collect();
             let journal = self.news.last();
             for (to, gossip) in self.spread.woken(now, &self.places, journal, &spares, &mut self.rng) {
                 out.gossip(to, gossip);
