The laboratory's files part into folders, arrows one way, one file an experiment

Nine files knew each other in one circle: `sockets` played an experiment and took its teams from `experiments`, which played `sockets`; engines, fleets, faults and traffic stood beside the processes that use them.

`virtual_time/` holds engines, fleets, faults and traffic; `processes/` the real ones, with `sockets`; `experiments/` one file each, the list in `mod.rs`. Command and demo ask experiments, these processes and virtual time, processes virtual time and stand-ins; reports and figures know none. The flood on sockets moved from `sockets` to its experiment. No change of behaviour; `stand_ins` and `processes` keep their paths.

--- a/crates/ivypitch-lab/src/demo.rs
+++ b/crates/ivypitch-lab/src/demo.rs
@@ -4,10 +4,10 @@
 
 use ivypitch::interface::SECOND;
 
-use crate::engine::Model;
-use crate::experiments::{TEAMS, teams};
-use crate::sockets::{self, Plan};
-use crate::traffic::{self, Flood};
+use crate::experiments::team_flood::{TEAMS, teams};
+use crate::processes::sockets::{self, Plan};
+use crate::virtual_time::engine::Model;
+use crate::virtual_time::traffic::{self, Flood};
 
 const SECONDS: u64 = 16;
 
--- a/crates/ivypitch-lab/src/custody_cost.rs
+++ b/crates/ivypitch-lab/src/experiments/custody_cost.rs
@@ -9,11 +9,11 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::custody_fleet;
-use crate::faults::Plan;
 use crate::processes::clients::{self, Ask, Manners, Story};
 use crate::processes::{Engines, Fleet, Setup};
 use crate::report::{Bound, Report};
+use crate::virtual_time::custody_fleet;
+use crate::virtual_time::faults::Plan;
 
 const LONGEST_MS: u64 = 3000;
 const REMEMBERED_MS: u64 = 500;
--- a/crates/ivypitch-lab/src/fleet_cut.rs
+++ b/crates/ivypitch-lab/src/experiments/fleet_cut.rs
@@ -8,11 +8,11 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::faults::{Field, Plan, What};
 use crate::processes::clients::{self, Ask, Manners};
 use crate::processes::story::{Verdict, judge};
 use crate::processes::{Engines, Fleet, Said, Setup};
 use crate::report::{Bound, Report};
+use crate::virtual_time::faults::{Field, Plan, What};
 
 const GATEWAYS: usize = 12;
 const ENGINES: usize = 6;
--- a/crates/ivypitch-lab/src/gateway_loss.rs
+++ b/crates/ivypitch-lab/src/experiments/gateway_loss.rs
@@ -8,11 +8,11 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::faults::{Fault, Field, Plan, What};
 use crate::processes::clients::{self, Ask, Manners};
 use crate::processes::story::{Verdict, judge};
 use crate::processes::{Engines, Fleet, Setup};
 use crate::report::{Bound, Report};
+use crate::virtual_time::faults::{Fault, Field, Plan, What};
 
 const GATEWAYS: usize = 8;
 const ENGINES: usize = 6;
--- a/crates/ivypitch-lab/src/processes/clients.rs
+++ b/crates/ivypitch-lab/src/processes/clients.rs
@@ -14,7 +14,7 @@
 use smol::{LocalExecutor, Timer};
 
 use super::engine::stamp;
-use crate::sockets::{Reply, Session, holdoff_ms};
+use crate::processes::sockets::{Reply, Session, holdoff_ms};
 
 /// One statement of the traffic.
 #[derive(Clone, Debug)]
--- a/crates/ivypitch-lab/src/processes/engine.rs
+++ b/crates/ivypitch-lab/src/processes/engine.rs
@@ -1,4 +1,4 @@
-//! An emulated engine as a process of its own: the model of [`crate::engine`] behind the platform's HTTP. It listens at
+//! An emulated engine as a process of its own: the model of [`crate::virtual_time::engine`] behind the platform's HTTP. It listens at
 //! one address for each gateway, so that it knows who asks, and says each start, first question of another gateway and
 //! end on its standard output before it acts on it: what a killed engine had begun is known all the same.
 
@@ -20,8 +20,8 @@
 use smol::io::AsyncWriteExt;
 use smol::{Async, LocalExecutor, Timer};
 
-use crate::engine::{Ended, Engine, Model, Query};
-use crate::sockets::{Call, answer, next_call};
+use crate::processes::sockets::{Call, answer, next_call};
+use crate::virtual_time::engine::{Ended, Engine, Model, Query};
 
 const NEWS: Duration = Duration::from_millis(250);
 const UNASKED: Duration = Duration::from_secs(2);
--- a/crates/ivypitch-lab/src/processes/mod.rs
+++ b/crates/ivypitch-lab/src/processes/mod.rs
@@ -6,6 +6,7 @@
 pub mod engine;
 pub mod journal;
 pub mod relay;
+pub mod sockets;
 pub mod story;
 
 use std::io::{BufRead, BufReader, Write};
@@ -18,8 +19,8 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::faults::{Fault, Plan, What};
 use crate::stand_ins::{PATIENCE, Seen, configuration, program};
+use crate::virtual_time::faults::{Fault, Plan, What};
 use engine::stamp;
 use journal::Journal;
 use relay::{End, Net};
--- a/crates/ivypitch-lab/src/sockets.rs
+++ b/crates/ivypitch-lab/src/processes/sockets.rs
@@ -19,12 +19,10 @@
 use smol::io::AsyncWriteExt;
 use smol::{Async, LocalExecutor, Timer};
 
-use crate::engine::{Ended, Engine, Model, Query};
-use crate::experiments::{FLOODS, TEAMS, flood_bounds, teams};
 use crate::figures::{Figures, TeamFigures};
-use crate::report::{Bound, Report};
 use crate::stand_ins::{login, query, spawn_with};
-use crate::traffic::{self, Flood, Statement, Work};
+use crate::virtual_time::engine::{Ended, Engine, Model, Query};
+use crate::virtual_time::traffic::{Statement, Work};
 
 const MS: Nanos = 1_000_000;
 /// An engine holds its news back for so long.
@@ -696,71 +694,3 @@
         shares.iter().map(|(name, share)| format!(r#""{name}":{{"share":{share}}}"#)).collect();
     format!(r#"{{"teams":{{"show":true,"by_name":{{{}}}}}}}"#, teams.join(","))
 }
-
-pub fn flood(report: &mut Report, quick: bool, seed: u64) {
-    let (engines, seconds) = if quick { (4, 14) } else { (4, 40) };
-    let works = traffic::workloads(0.1);
-    let model = Model { cores: 8.0, ..Model::default() };
-    let cores = engines as f64 * model.cores;
-    let span = seconds * SECOND;
-    let step = Flood::Step { times: 10.0, from: 3 * SECOND, until: span };
-    let shares = TEAMS;
-    let run = |flood: Flood, queues: bool, new_connections: bool| {
-        let all = teams(cores, flood);
-        play(Plan {
-            engines,
-            model: model.clone(),
-            works: works.clone(),
-            teams: all.iter().map(|t| t.name.clone()).collect(),
-            statements: traffic::statements(&works, &all, span, seed),
-            own: queues.then(|| own(&shares)),
-            allowances: shares.iter().map(|(_, share)| share * cores).collect(),
-            new_connections,
-            seed,
-            live: false,
-        })
-    };
-    let (calm, without, with) = std::thread::scope(|scope| {
-        let calm = scope.spawn(|| run(Flood::None, true, false));
-        let without = scope.spawn(|| run(step, false, false));
-        let with = run(step, true, false);
-        (calm.join(), without.join(), with)
-    });
-    // Side by side: what the queues cost while all is calm, and a flood in which each statement is a new connection.
-    let (plain, queued, anew) = std::thread::scope(|scope| {
-        let plain = scope.spawn(|| run(Flood::None, false, false));
-        let queued = scope.spawn(|| run(Flood::None, true, false));
-        let anew = run(step, true, true);
-        (plain.join(), queued.join(), anew)
-    });
-    match (&calm, plain, queued, anew) {
-        (Ok(Ok(calm)), Ok(Ok(plain)), Ok(Ok(queued)), Ok(anew)) => {
-            let place = format!("sockets, 1 gateway, {engines} engines, {seconds} s");
-            for t in (0..TEAMS.len()).filter(|&t| t != FLOODS) {
-                let kept = anew.teams[t].service() / calm.teams[t].service().max(1e-9);
-                let what = format!("{place}: new connections: {} keeps of its service", TEAMS[t].0);
-                report.bounds.push(Bound::new(&what, kept, 0.95, f64::MAX));
-            }
-            let what = format!("{place}: CPU of calm traffic with the queues, against without");
-            // Both are counted in hundredths of a second: told here, judged over longer runs.
-            report.bounds.push(Bound::new(&what, queued.cpu_s / plain.cpu_s.max(1e-9), 0.0, f64::MAX));
-            report.run(&place, "new connections", anew);
-            report.run(&place, "no flood, none", plain);
-        }
-        _ => report.bounds.push(Bound::new("the further runs on sockets end", 0.0, 1.0, f64::MAX)),
-    }
-    match (calm, without, with) {
-        (Ok(Ok(calm)), Ok(Ok(without)), Ok(with)) => {
-            let place = format!("sockets, 1 gateway, {engines} engines, {seconds} s");
-            flood_bounds(report, &place, &calm, &without, &with, cores * seconds as f64);
-            report.run(&place, "no flood, queues", calm);
-            report.run(&place, "flood, no queues", without);
-            report.run(&place, "flood, queues", with);
-        }
-        (calm, without, with) => {
-            let said = [calm.ok().and_then(Result::err), without.ok().and_then(Result::err), with.err()];
-            eprintln!("a run on sockets failed: {said:?}");
-            report.bounds.push(Bound::new("the runs on sockets end", 0.0, 1.0, f64::MAX));
-        }
-    }
-}
--- a/crates/ivypitch-lab/src/processes/story.rs
+++ b/crates/ivypitch-lab/src/processes/story.rs
@@ -5,7 +5,7 @@
 
 use super::clients::{Ask, Heard, Story};
 use super::{Done, Said};
-use crate::faults::What;
+use crate::virtual_time::faults::What;
 
 /// What a run came to.
 #[derive(Clone, Debug, Default, serde::Serialize)]
--- a/crates/ivypitch-lab/src/custody_fleet.rs
+++ b/crates/ivypitch-lab/src/virtual_time/custody_fleet.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::faults::{Plan, What};
+use crate::virtual_time::faults::{Plan, What};
 
 const MS: Nanos = 1_000_000;
 /// Engines drop what nobody asked for in so long.
@@ -288,7 +288,7 @@
 /// The fault plan of a run of this fleet.
 pub fn draw(fleet: &Fleet, seed: u64, losses_only: bool) -> Plan {
     Plan::draw(
-        crate::faults::Field {
+        crate::virtual_time::faults::Field {
             gateways: fleet.gateways,
             zones: fleet.zones,
             engines: fleet.engines,
--- a/crates/ivypitch-lab/src/fleet.rs
+++ b/crates/ivypitch-lab/src/virtual_time/fleet.rs
@@ -1,5 +1,5 @@
 //! Gateways, engines and clients at large size in virtual time: the decision module and the teams' queues as they
-//! are, the engines as [`crate::engine::Engine`], a network of fixed delay. A seed replays a run exactly. It counts
+//! are, the engines as [`crate::virtual_time::engine::Engine`], a network of fixed delay. A seed replays a run exactly. It counts
 //! at the clients and at the engines what no rule may allow.
 
 use std::cmp::Reverse;
@@ -12,9 +12,9 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::engine::{Ended as EngineEnd, Engine, Model, Query};
 use crate::figures::{Figures, TeamFigures};
-use crate::traffic::{Statement, Work};
+use crate::virtual_time::engine::{Ended as EngineEnd, Engine, Model, Query};
+use crate::virtual_time::traffic::{Statement, Work};
 
 const NETWORK: Nanos = 500_000;
 /// A refused client tries so often in all.
--- /dev/null
+++ b/crates/ivypitch-lab/src/virtual_time/mod.rs
@@ -0,0 +1,10 @@
+//! Whole fleets as values in virtual time: engines, gateways' deciding crates, networks with faults, open-loop
+//! traffic, all by a seed. Knows no process, no socket and no experiment.
+
+pub mod custody_fleet;
+pub mod engine;
+pub mod faults;
+pub mod fleet;
+pub mod members_fleet;
+pub mod shares_fleet;
+pub mod traffic;
--- a/crates/ivypitch-lab/src/shares_fleet.rs
+++ b/crates/ivypitch-lab/src/virtual_time/shares_fleet.rs
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
-use crate::faults::{Fault, Field, Plan, What};
+use crate::virtual_time::faults::{Fault, Field, Plan, What};
 
 const MS: Nanos = 1_000_000;
 /// The bound that is a level, and the one that is counted over a window.
