Work and calls of a cold engine are bounded apart; the mean of work is what engines tell

Cause (seen): since calls count, a call cost the higher of its own and the mean work, so a lookup used up six lookups' part of the work, and the mean came from the higher of told and estimated work, which runs high where estimates do. Now a call takes one of N calls (budget over mean work, over the fleet, in whole calls) and its own work from the budget.

The test of a cold engine's calls plays 24 and 30 processes, also with a few that send most, to the same bound.

--- a/crates/ivypitch-command/tests/fleet.rs
+++ b/crates/ivypitch-command/tests/fleet.rs
@@ -10,6 +10,10 @@
 use ivypitch_lab::stand_ins::*;
 
 const GATEWAYS: usize = 24;
+/// Of the fleets of which a few send most, every so many gateways have one with so many clients; the others' rest.
+const FEW: usize = 8;
+const MOST_CLIENTS: usize = 16;
+const REST: Duration = Duration::from_millis(250);
 /// As the settings below have it: an engine of 8 cores begins at 0.3 of its pace, and falls over when it is sent 2.5
 /// times what it can do for a second.
 const COLD: &str = r#""cold-from":0.3,"overload-factor":2.5,"tip-after-ns":1000000000,"#;
@@ -20,8 +24,8 @@
 const LOAD_MS: f64 = 3000.0;
 const MEAN: f64 = (9.0 * LOOKUP_MS + LOAD_MS) / 10.0 / 1000.0;
 
-fn member(config: String, me: usize) -> String {
-    let config = config.replace("\"balancers\":1", &format!("\"balancers\":{GATEWAYS},\"me\":{me}"));
+fn member(config: String, gateways: usize, me: usize) -> String {
+    let config = config.replace("\"balancers\":1", &format!("\"balancers\":{gateways},\"me\":{me}"));
     config.replace("\"cold-from\":0.3,", COLD).replace("\"cores-by-kind\":[64]", "\"cores-by-kind\":[8]")
 }
 
@@ -39,10 +43,11 @@
     })
 }
 
-/// Clients of one gateway that ask without end, and come again at once where it has gone.
+/// Clients of one gateway that ask without end, each this long after an answer, and come again at once where it has
+/// gone.
 fn clients(
     at: SocketAddr,
-    count: usize,
+    (count, rest): (usize, Duration),
     number: &Arc<AtomicU64>,
     over: &Arc<AtomicBool>,
 ) -> Vec<thread::JoinHandle<usize>> {
@@ -64,6 +69,7 @@
                         Some(Answer::Error(..)) => {}
                         Some(Answer::Closed) | None => break,
                     }
+                    thread::sleep(rest);
                 }
             }
             answered
@@ -74,6 +80,23 @@
 
 #[test]
 fn a_cold_engine_gets_no_more_than_its_budget_of_calls_from_all_gateways_also_as_half_begin_anew() {
+    cold_engine(GATEWAYS, |_| (2, Duration::ZERO));
+}
+
+#[test]
+fn nor_from_thirty() {
+    cold_engine(30, |_| (2, Duration::ZERO));
+}
+
+#[test]
+fn nor_where_a_few_send_most() {
+    let few = |me| if me % FEW == 1 { (MOST_CLIENTS, Duration::ZERO) } else { (1, REST) };
+    cold_engine(GATEWAYS, few);
+    cold_engine(30, few);
+}
+
+/// So many gateways with so many clients each; every second one is killed in between and begins anew.
+fn cold_engine(count: usize, load: impl Fn(usize) -> (usize, Duration)) {
     let arrived = Arc::new(Mutex::new(Vec::new()));
     let (warm, cold) = (engine(None), engine(Some(arrived.clone())));
     let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap();
@@ -83,15 +106,16 @@
         warm.row("s-1", "in_service"),
         row_at(cold.address, "s-2", "in_service", started.as_millis() as u64),
     ];
-    let config = |listen: &str, me: usize| member(configuration(listen, &list, None, 1024), me);
+    let config = |listen: &str, me: usize| member(configuration(listen, &list, None, 1024), count, me);
     let mut gateways: Vec<Gateway> =
-        (0..GATEWAYS).map(|me| Gateway::configured(config("127.0.0.1:0", me))).collect();
+        (0..count).map(|me| Gateway::configured(config("127.0.0.1:0", me))).collect();
     let until_started = started.saturating_sub(SystemTime::now().duration_since(UNIX_EPOCH).unwrap());
     let began = Instant::now() + until_started;
     let (number, over) = (Arc::new(AtomicU64::new(1)), Arc::new(AtomicBool::new(false)));
-    let running: Vec<_> = gateways.iter().flat_map(|g| clients(g.address, 2, &number, &over)).collect();
+    let running: Vec<_> =
+        (0..count).flat_map(|me| clients(gateways[me].address, load(me), &number, &over)).collect();
     until("two seconds of the cold engine", || began.elapsed() > Duration::from_secs(2));
-    for me in (0..GATEWAYS).step_by(2) {
+    for me in (0..count).step_by(2) {
         let address = gateways[me].address.to_string();
         gateways[me].kill();
         gateways[me] = Gateway::configured(config(&address, me));
@@ -105,7 +129,7 @@
     let calls = ALLOWED_WORK / MEAN;
     let bound = calls + 2.0 * calls.sqrt() + 2.0;
     println!(
-        "{answered} answered; cold: {} calls, {most} in the worst second, {bound:.1} at most",
+        "{count} gateways: {answered} answered; cold: {} calls, {most} in the worst second, {bound:.1} at most",
         arrived.len()
     );
     assert!(most as f64 <= bound, "{most} calls in a second, {bound:.1} at most");
@@ -118,13 +142,14 @@
     let (_held, journal) = refusing();
     let list = [engine.row("s-1", "in_service")];
     let config = |listen: &str, me: usize| {
-        let config = member(configuration(listen, &list, None, 256), me);
+        let config = member(configuration(listen, &list, None, 256), GATEWAYS, me);
         config.replace("\"journal\":\"\"", &format!("\"journal\":\"{journal}\""))
     };
     let mut gateways: Vec<Gateway> =
         (0..GATEWAYS).map(|me| Gateway::configured(config("127.0.0.1:0", me))).collect();
     let (number, over) = (Arc::new(AtomicU64::new(1)), Arc::new(AtomicBool::new(false)));
-    let running: Vec<_> = gateways.iter().flat_map(|g| clients(g.address, 4, &number, &over)).collect();
+    let running: Vec<_> =
+        gateways.iter().flat_map(|g| clients(g.address, (4, Duration::ZERO), &number, &over)).collect();
     // Half are told to end, half are killed; the next process is there at once, at the same address.
     let ready: Vec<Duration> = thread::scope(|scope| {
         let mut all = Vec::new();
--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -518,8 +518,8 @@
             }
         }
         self.importance += DEMAND_LEARN * (importance - self.importance);
-        let cold_work = self.wlms[wlm].told_work.max(self.wlms[wlm].estimate);
-        self.mean_work = (self.mean_work + DEMAND_LEARN * (cold_work - self.mean_work)).max(self.lightest);
+        let (told, estimate) = (self.wlms[wlm].told_work, self.wlms[wlm].estimate);
+        self.mean_work = (self.mean_work + DEMAND_LEARN * (told - self.mean_work)).max(self.lightest);
         let apart = u64::from(self.loads_block_others && facts.is_load);
         let group = point_of(u64::from(arrival.table_group) | apart << 32);
         let slo = seconds(facts.slo_time) + facts.slo_stretch * work / facts.threads.max(1.0);
@@ -531,7 +531,7 @@
             point: [0, 1].map(|axis| group[axis] + OFFSET * (2.0 * self.chance() - 1.0)),
             deadline: now.saturating_add(arrival.time_left),
             work: work.max(1e-4),
-            cold_work,
+            cold_work: told.max(estimate),
             estimated_mb: arrival.estimated_mb,
             importance,
             due: Some(now + nanos(slo)),
@@ -905,8 +905,7 @@
         }
         let timeout = stmt.deadline.saturating_sub(now + 2 * self.facts.tick).max(1);
         out.send(ix, to, timeout);
-        // Engines fall over by the number of calls too: none counts less than one of mean work.
-        let cold_cost = stmt.cold_work.max(self.mean_work);
+        let cold_cost = stmt.cold_work;
         stmt.out = Some(Execution { engine: to, since: now, number: stmt.executions, cold_cost, word: now });
         stmt.executions += 1;
         let engine = &mut self.engines[to.0];
@@ -1021,22 +1020,23 @@
         if !engine.ready() {
             return false;
         }
-        // Rule 4: a cold engine gets its budget in each window, shared by gateways that hold a call of mean
-        // work each, by its start, known to all. One that began later doesn't know what its former self sent.
+        // Rule 4: in each window a cold engine gets its budget of work, and no more calls than that over mean
+        // work; parts by its start, told to all. One that began later doesn't know what its former self sent.
         if engine.row.started_at > 0 && now < engine.row.started_at.saturating_add(self.facts.warm_up) {
             let age = seconds(now.saturating_sub(engine.row.started_at)) / seconds(self.facts.warm_up);
             let warm = self.facts.cold_from + COLD_GROWTH * (1.0 - self.facts.cold_from).max(0.0) * age;
             let window = seconds(self.facts.overload_window);
             let budget = COLD_SAFETY * self.facts.overload_factor * self.cores(to) * warm * window;
-            let gateways = self.facts.gateways as f64;
-            let sharing = (budget / self.mean_work).floor().clamp(1.0, gateways);
+            let (gateways, calls) = (self.facts.gateways as f64, (budget / self.mean_work).floor().max(1.0));
+            let sharing = calls.min(gateways);
             let first = unit_hash(&(engine.row.id, engine.row.started_at)) * gateways;
             let place = (self.facts.me as f64 - first.floor()).rem_euclid(gateways);
+            let part = ((calls + place) / sharing).floor();
             let recent = engine.cold_sends.iter().filter(|(at, _)| at + self.facts.overload_window >= now);
-            let sent: f64 = recent.map(|(_, cost)| cost).sum();
-            let more = if begins { 0.0 } else { stmt.cold_work.max(self.mean_work) };
+            let more = if begins { (0.0, 0.0) } else { (1.0, stmt.cold_work) };
+            let sent = recent.fold(more, |sum, (_, cost)| (sum.0 + 1.0, sum.1 + cost));
             let knows = engine.row.started_at.max(now - self.facts.overload_window.min(now)) >= self.started;
-            if !knows || place >= sharing || sent + more > budget / sharing {
+            if !knows || place >= sharing || sent.0 > part || sent.1 > budget / sharing {
                 return false;
             }
         }
--- a/crates/ivypitch/tests/scenarios.rs
+++ b/crates/ivypitch/tests/scenarios.rs
@@ -8,7 +8,7 @@
 //! `begin S yes|no` asks whether the last execution of S may leave now. `names A yes|no` asks whether the module names an engine, `pass A B` gives its index to another.
 //! `adopt S WORKLOAD k=v .. / ENGINE` takes over an execution there; `advise ENGINE out|tries|well|none` and `part C X` tell what
 //! all gateways say and hold. `answer ENGINE REPORT` answers a probe; `list-many N k=v ..` lists N engines alike, `peer-bytes` sends raw bytes. `fleet N` plays the steps as each of N gateways; `together A B` bounds
-//! their sends in all.
+//! their sends in all, `first N STEP` is a step of the first N alone. `arrive-many N WORKLOAD k=v ..` are N statements alike.
 
 use ivypitch::interface::*;
 use ivypitch::rules::Gateway;
@@ -359,6 +359,17 @@
                 self.seen.engines[engine.0] = words[2].into();
                 *self.passed.entry(engine.0).or_default() += 1;
             }
+            "arrive-many" => {
+                for i in 0..words[1].parse::<usize>().unwrap() {
+                    let name = format!("m{i}-{}", self.seen.stmts.len());
+                    self.step(&format!("arrive {name} {}", words[2..].join(" ")));
+                }
+            }
+            "first" => {
+                if self.facts.me < words[1].parse().unwrap() {
+                    self.step(&words[2..].join(" "));
+                }
+            }
             "peer-bytes" => {
                 let bytes: Vec<u8> = words[1].split(',').map(|b| b.parse().unwrap()).collect();
                 self.gateway().0.peer_said(now, &bytes);
