The open rows of crossings have their tests: idle time, kills, whole lists, a late drain, the queue at the end

Each holds the byte or the answer, or stops the gateway while both events happen.

The microseconds between the last look at the queue and the close of the listener stay open; docs/races.md says why.

--- a/crates/ivypitch-command/tests/races.rs
+++ b/crates/ivypitch-command/tests/races.rs
@@ -103,6 +103,66 @@
     assert_eq!(starts_of(&engine, 2), 0);
 }
 
+/// A client that has only just been let in asks, and the word to kill that is there too, on a session that was there
+/// before or with its own login: the word is not taken before what it is about.
+#[test_case(true; "by one that was there")]
+#[test_case(false; "by one that comes with it")]
+fn a_kill_right_behind_an_accept_finds_its_statement(there: bool) {
+    let engine = Engine::busy();
+    let gateway = Gateway::start(&[engine.row("s-1", "in_service")]);
+    for req in 1..=20 {
+        let mut killer = there.then(|| Client::connect(&gateway));
+        let mut client = Client::bare(&gateway);
+        client.greeting();
+        let text = query(&format!("KILL QUERY {}", client.connection));
+        let mut killer = gateway.held(|| {
+            client.send(&[login("app"), query(&statement("load", req, LONG))].concat());
+            let mut killer = killer.take().unwrap_or_else(|| Client::bare(&gateway));
+            killer.send(&if there { text } else { [login("app"), text].concat() });
+            killer
+        });
+        if !there {
+            assert_eq!(killer.greeted(), Answer::Rows(vec![]));
+        }
+        assert_eq!(killer.answer(1), Answer::Rows(vec![]));
+        assert_eq!(client.answer(2), Answer::Rows(vec![]));
+        assert_eq!(client.answer(1).code(), 1317, "the kill of {req}");
+        assert!(starts_of(&engine, req) <= 1);
+    }
+}
+
+#[test_case(true; "behind it")]
+#[test_case(false; "before it")]
+fn a_kill_right_by_an_engines_accept_ends_the_query_there(behind: bool) {
+    let accept = Seen::<()>::new();
+    let wait = accept.clone();
+    let engine = Engine::start(move |call, n| {
+        if !call.is("DELETE") && id_of(call) == 1 {
+            wait.wait("word to accept", |_| true);
+            return say(202, "", "");
+        }
+        served(call, n)
+    });
+    let gateway = Gateway::start(&[engine.row("s-1", "in_service")]);
+    let mut client = asked(&gateway, "load", 1, LONG);
+    let mut killer = Client::connect(&gateway);
+    engine.calls.wait("start", |c| c.is("POST"));
+    gateway.held(|| {
+        if behind {
+            accept.push(());
+        }
+        killer.send(&query(&format!("KILL QUERY {}", client.connection)));
+    });
+    assert_eq!(killer.answer(1), Answer::Rows(vec![]));
+    assert_eq!(client.answer(1).code(), 1317);
+    if !behind {
+        accept.push(());
+    }
+    engine.calls.wait("the word to give it up", |c| c.is("DELETE") && id_of(c) == 1);
+    assert_eq!(client.ask(&statement("load", 2, LONG)), rows());
+    assert_eq!((engine.starts(), starts_of(&engine, 1)), (2, 1));
+}
+
 // ---- the other rules, as the bytes leave ----
 
 #[test_case("terminating"; "it begins to drain")]
@@ -331,6 +391,38 @@
     assert_eq!(gateway.exit_code(), Some(0));
 }
 
+/// All but the microseconds between the last look at the queue and the close of the listener.
+#[test]
+fn who_waits_in_the_queue_as_the_last_session_closes_is_told() {
+    let end = Seen::<()>::new();
+    let wait = end.clone();
+    let engine = Engine::start(move |call, n| {
+        if call.is("GET") {
+            wait.wait("word to end", |_| true);
+        }
+        if call.is("POST") { say(202, "", "") } else { served(call, n) }
+    });
+    let (mut gateway, mut open) = finishing(&engine);
+    engine.calls.wait("the question that is answered with the end", |c| c.is("GET"));
+    let mut late: Vec<Client> = gateway.held(|| {
+        end.push(());
+        let one = |req| {
+            let mut client = Client::bare(&gateway);
+            client.send(&[login("app"), query(&statement("lookup", req, LONG))].concat());
+            client
+        };
+        (101..141).map(one).collect()
+    });
+    for client in &mut late {
+        assert_eq!(client.greeted(), Answer::Rows(vec![]));
+        assert_eq!(client.answer(1).code(), 1203);
+        assert_eq!(client.answer(1), Answer::Closed);
+    }
+    assert_eq!(open.answer(1), rows());
+    assert_eq!(gateway.exit_code(), Some(0));
+    assert_eq!(engine.starts(), 1);
+}
+
 #[test]
 fn a_session_that_rests_ends_in_order_and_bytes_that_cross_reset_nothing() {
     let (engine, end) = held_engine();
@@ -467,6 +559,33 @@
     drop(crowd);
 }
 
+/// The gateway closes a session that has rested for 5 s, and one that asks nothing within 2 s of its connection.
+#[test_case(5, usize::MAX; "a whole request as the idle time ends")]
+#[test_case(5, 30; "a piece of one")]
+#[test_case(5, 1; "its first byte")]
+#[test_case(2, usize::MAX; "a whole request as the time for the first ends")]
+fn a_request_that_comes_with_the_end_of_its_sessions_time_is_served(seconds: u64, piece: usize) {
+    let engine = Engine::served();
+    let gateway = Gateway::start(&[engine.row("s-1", "in_service")]);
+    let came = Instant::now();
+    let mut client = Client::connect(&gateway);
+    if seconds == 5 {
+        assert_eq!(client.ask(&statement("load", 1, LONG)), rows());
+    }
+    let rested = Instant::now();
+    let (time, text) = (Duration::from_secs(seconds), query(&statement("load", 2, LONG)));
+    let (first, rest) = text.split_at(piece.min(text.len()));
+    let since = if seconds == 5 { rested } else { came };
+    until("most of its time", || since.elapsed() > time - Duration::from_millis(300));
+    gateway.held(|| {
+        client.send(first);
+        until("the end of its time", || rested.elapsed() > time + Duration::from_millis(50));
+    });
+    client.send(rest);
+    assert_eq!(client.answer(1), rows());
+    assert_eq!(starts_of(&engine, 2), 1);
+}
+
 #[test]
 fn idle_clients_fill_every_place_while_the_journal_is_down_and_its_return_is_heard() {
     let (old, new) = (Engine::served(), Engine::served());
@@ -584,6 +703,61 @@
     assert_eq!((old.starts(), new.starts()), (0, 5));
 }
 
+/// Numbered as it is told, a whole list is one event among others: deltas from before it, told again or late by the
+/// service that was followed before, change nothing of it.
+#[test]
+fn a_whole_list_that_crosses_deltas_and_the_old_services_words_is_the_last_word() {
+    let [gone, drained, new] = [(); 3].map(|()| Engine::served());
+    let (first, second) = (Journal::held(), Journal::held());
+    let gateway = Gateway::with("127.0.0.1:0", &[gone.row("s-1", "in_service")], Some(&first), 1024);
+    first.tails.wait("tail", |t| t == "tail 1\n");
+    let delta = event(2, false, &[drained.row("s-2", "in_service")]);
+    let whole = event(3, true, &[drained.row("s-2", "terminating"), new.row("s-3", "in_service")]);
+    gateway.held(|| {
+        gateway.configure_journal(&second);
+        gateway.signal("HUP");
+        // Both are there, unread, as the new configuration comes.
+        first.tell(&delta);
+        first.tell(&whole);
+    });
+    second.tails.wait("tail", |t| t.starts_with("tail "));
+    // The new service tells all again, and the delta once more behind the whole list.
+    second.tell(&[delta.clone(), whole, delta.clone()].concat());
+    gateway.log.wait("the new engine", |l| l.contains("is s-3 at"));
+    first.tell(&delta);
+    first.tell(&event(4, false, &[gone.row("s-1", "in_service"), drained.row("s-2", "in_service")]));
+    first.tell(&event(5, true, &[gone.row("s-1", "in_service")]));
+    // The next of the new one comes behind all that.
+    let next = Engine::served();
+    second.tell(&event(4, false, &[next.row("s-4", "terminating")]));
+    gateway.log.wait("the event behind it", |l| l.contains("is s-4 at"));
+    for req in 1..=8 {
+        assert_eq!(Client::connect(&gateway).ask(&statement("load", req, LONG)), rows());
+    }
+    assert_eq!([&gone, &drained, &new, &next].map(Engine::starts), [0, 0, 8, 0]);
+}
+
+/// Each silent connection is given up after 2 s, and the next one is silent too: six of them are over 12 s.
+#[test]
+fn a_drain_told_after_thirteen_seconds_of_silence_counts_for_what_waits_to_leave() {
+    let (door, other) = (Door::shut(), Engine::served());
+    let news = [row_at(door.address, "s-1", "terminating", 0), other.row("s-2", "in_service")];
+    let journal = Journal::held();
+    let gateway = gateway_with(&[row_at(door.address, "s-1", "in_service", 0)], Some(&journal), patient);
+    let began = Instant::now();
+    let mut client = asked(&gateway, "load", 1, 3 * LONG);
+    door.dialled();
+    journal.tails.wait_for("the seventh time that it asks", 7, |t| t == "tail 1\n");
+    assert!(began.elapsed() > Duration::from_secs(12), "{:?}", began.elapsed());
+    journal.tell(&event(2, false, &news));
+    gateway.log.wait("the news", |l| l.contains("is s-2 at"));
+    let engine = Engine::on(door.open(), served);
+    assert_eq!(client.answer(1), rows());
+    assert_eq!(client.ask(&statement("lookup", 2, LONG)), rows());
+    assert_eq!((engine.starts(), other.starts()), (0, 2));
+    engine.ended.wait("end of the dial", |_| true);
+}
+
 // ---- answers of engines ----
 
 #[test]
--- a/crates/ivypitch-lab/src/stand_ins.rs
+++ b/crates/ivypitch-lab/src/stand_ins.rs
@@ -681,10 +681,14 @@
 
     /// Reads the greeting and the answer to the login.
     pub fn greeted(&mut self) -> Answer {
+        self.greeting();
+        self.answer(2)
+    }
+
+    pub fn greeting(&mut self) {
         let greeting = self.packet().expect("a greeting").1;
         let version = greeting.iter().position(|&b| b == 0).unwrap();
         self.connection = u32::from_le_bytes(greeting[version + 1..version + 5].try_into().unwrap());
-        self.answer(2)
     }
 
     pub fn send(&mut self, bytes: &[u8]) {
