Each gateway sends within a subset of the engines, sized by what its own traffic keeps heard of

Cause (seen): where hundreds of gateways each send some tens of statements a second to 80 engines, each hears an engine every few seconds; no report is fresh, room is guessed, and 273 gateways may each have something out at each engine.

Change: BEMA picks among the first engines by a gateway's place there: each engine deals its places to all gateways by a permutation of its own (`place_of`), so each is held by nearly as many gateways as any other (11 to 22 of 17 in the mean, 273 gateways, 80 engines), and one engine more moves one place of few gateways. As many as own statements keep heard of twice while a report is fresh, five at least, eight gateways an engine at least, 80 at most by traffic. What drains, fails or may not be sent to makes place for the next; without room the subset doubles. Cold shares go to the first gateways by the same places, so who may warm an engine is who has it in its subset.

--- a/crates/ivypitch/src/lib.rs
+++ b/crates/ivypitch/src/lib.rs
@@ -3,4 +3,5 @@
 
 pub mod interface;
 pub mod rules;
+mod state;
 pub mod units;
--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -4,13 +4,23 @@
 //! `cores_left` (load), `judge`, `listen`, `noted` (health). `permitted` is the gate for the seven rules.
 
 use crate::interface::*;
+use crate::state::*;
 use crate::units::*;
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// How far the winner's EMA point moves towards the query point (the paper's best is near 0.1).
 const ALPHA: f64 = 0.1;
-/// N: how many of the own last sends count as load, for each engine listed.
+/// N: how many of the own last sends count as load, for each engine that they go to.
 const RECENT_SENDS: usize = 9;
+/// The subset: engines that own statements make heard of so often while a report is fresh, no more than a
+/// statement's cost allows; so few leave a choice where some are bad, so many gateways even an engine's load out.
+const HEARD: f64 = 2.0;
+const MOST_KEPT: f64 = 80.0;
+const FEWEST_KEPT: f64 = 5.0;
+const HOLDERS: f64 = 8.0;
+/// Where it has no room it widens so many times, past no more than so many times that may not be sent to.
+const WIDENS: usize = 2;
+const LOOKS: usize = 4;
 /// Half the side of the square around a group's point in which query points lie; the plane's side is 1.
 const OFFSET: f64 = 0.04;
 /// Distance counts at least this part of the plane's side.
@@ -72,13 +82,7 @@
 const MANY_WAITING: usize = 8;
 /// This part of the places for statements is for all, the last for those that earn so many times the usual.
 const PLACES_FREE: f64 = 0.95;
-const PLACES_CROWDED: f64 = 0.5;
 const EARNS_FULL: f64 = 1.4;
-/// Where this part of what was sent is late, what is in hand is cut, to no less than so much; else it grows.
-const MOST_LATE: f64 = 0.3;
-const LIMIT_CUT: f64 = 0.8;
-const LEAST_LIMIT: f64 = 2.0;
-const LIMIT_GROWTH: f64 = 1.03;
 /// Further executions by own doubt, where no rule bounds them: if more seem lost or bad, all are slow.
 const OWN_BUDGET: ExecutionBudget = ExecutionBudget { window: SECOND * 5, free: 5.0, per_statement: 0.3 };
 const HOUSEKEEPING: Nanos = SECOND / 100;
@@ -141,8 +145,6 @@
     /// Of the first execution that may have run.
     may_have_run: Option<(EngineIx, Nanos)>,
     wait_until: Nanos,
-    /// Its SLO time, until it was late or in time.
-    due: Option<Nanos>,
     asks: usize,
 }
 
@@ -158,6 +160,11 @@
     /// Work asked for, smoothed, and the cores of the ready engines open to it.
     demand: f64,
     open_cores: f64,
+    /// Those engines; how many of them are this gateway's subset, and how many gateways hold each.
+    open: OpenEngines,
+    kept: usize,
+    holders: f64,
+    out: u32,
     /// Emptied as statements are sent or answered.
     queue: Vec<StmtIx>,
 }
@@ -166,6 +173,7 @@
 struct Engine {
     row: EngineRow,
     listed: bool,
+    key: Key,
     ema_point: [f64; 2],
     /// Own executions out there and their threads, of short and of long workloads.
     out: u32,
@@ -188,15 +196,8 @@
     full_until: Nanos,
     /// Its number among the own last N sends.
     recent: usize,
-    /// Work sent while cold; entries leave with the overload window.
-    cold_sends: VecDeque<(Nanos, f64)>,
-}
-
-/// The statements of one key in the order taken; the line goes when it is empty and rested.
-#[derive(Default)]
-struct KeyLine {
-    line: VecDeque<StmtIx>,
-    rest_until: Nanos,
+    /// Work sent there; entries leave with the overload window.
+    sends: Window,
 }
 
 #[derive(Default)]
@@ -212,19 +213,19 @@
     /// Engine and table group of the own last N sends; the oldest leaves as one comes.
     recent: VecDeque<(EngineIx, u32)>,
     keys: BTreeMap<u64, KeyLine>,
-    /// Loads that hold a table group on an engine, by `load_tag`: how many, and until when at the latest.
-    loads: BTreeMap<u32, (u32, Nanos)>,
+    loads: Loads,
     /// Times within the budget's window; older ones are dropped at each use.
     budget: ExecutionBudget,
-    taken: VecDeque<Nanos>,
-    further: VecDeque<Nanos>,
-    /// What each customer may still send within its share, and when that was worked out.
-    allowances: Vec<(f64, Nanos)>,
+    taken: Window,
+    further: Window,
+    allowances: Vec<Allowance>,
     /// This gateway's part of each allowance: an even one, or what it holds where gateways share.
     parts: Vec<f64>,
     loads_block_others: bool,
     dispatched: Nanos,
     in_hand: usize,
+    /// How many engines the own sends go to.
+    spread: usize,
     /// Importance of a statement, smoothed, and its work, which is never taken for less than settings tell.
     importance: f64,
     mean_work: f64,
@@ -233,10 +234,6 @@
     listed: usize,
     /// Part of the reports that show pressure, smoothed.
     pressed: f64,
-    /// Part of what was sent that is late, smoothed; how much may be in hand, and when that was cut last.
-    late: f64,
-    limit: f64,
-    limited: Nanos,
     /// Own sends since one was a trial.
     since_trial: u32,
     wake_is_set: bool,
@@ -256,7 +253,7 @@
         };
         let work = |w: &Workload| seconds(w.slo_time) * w.threads.max(1.0);
         let lightest = facts.workloads.iter().map(work).fold(1e6, f64::min).max(1e-3);
-        let burst = |c: &Customer| (c.allowance_per_s * ALLOWANCE_BURST_S, now);
+        let burst = |c: &Customer| Allowance { left: c.allowance_per_s * ALLOWANCE_BURST_S, at: now };
         Gateway {
             wlms: facts.workloads.iter().map(row).collect(),
             allowances: facts.customers.iter().map(burst).collect(),
@@ -265,7 +262,6 @@
             mean_work: lightest,
             lightest,
             started: now,
-            limit: facts.most_held as f64,
             budget: facts.execution_budget.clone().unwrap_or(OWN_BUDGET),
             facts,
             seed,
@@ -280,17 +276,21 @@
 
     pub fn engines_listed(&mut self, now: Nanos, kind: ListKind, rows: &[EngineRow], out: &mut dyn Output) {
         if kind != ListKind::Delta {
-            for engine in &mut self.engines {
-                engine.listed &= rows.iter().any(|r| r.engine == engine.row.engine);
-            }
+            let told: BTreeSet<usize> = rows.iter().map(|row| row.engine.0).collect();
+            (0..self.engines.len()).filter(|at| !told.contains(at)).for_each(|at| self.enlist(at, false));
         }
         for row in rows {
-            self.engines.resize_with(self.engines.len().max(row.engine.0 + 1), Engine::default);
-            let engine = &mut self.engines[row.engine.0];
-            if engine.row.id != row.id || engine.row.engine != row.engine {
+            let at = row.engine.0;
+            self.engines.resize_with(self.engines.len().max(at + 1), Engine::default);
+            let was_listed = self.engines[at].listed;
+            self.enlist(at, false);
+            let engine = &mut self.engines[at];
+            let is_new = engine.row.id != row.id || engine.row.engine != row.engine;
+            if is_new {
                 *engine = Engine { row: *row, best: f64::MAX, ..Engine::default() };
+                engine.key = Key::new(row.id, self.facts.me, self.facts.gateways, row.engine);
             }
-            if !engine.listed {
+            if is_new || !was_listed {
                 engine.ema_point = point_of(row.id);
             }
             if row.started_at > engine.row.started_at {
@@ -298,18 +298,43 @@
                 engine.outcomes.clear();
                 engine.turn(false, "restarted", 0.0, out);
             }
-            engine.listed = row.phase != EnginePhase::Gone;
             engine.row = *row;
+            self.enlist(at, row.phase != EnginePhase::Gone);
         }
-        self.listed = self.engines.iter().filter(|e| e.listed).count();
-        for w in 0..self.wlms.len() {
-            let facts = &self.facts.workloads[w];
-            let open = self.engines.iter().filter(|e| e.ready() && placed(facts, &e.row));
-            self.wlms[w].open_cores = open.map(|e| self.cores(e.row.engine)).sum::<f64>().max(1.0);
-        }
+        self.narrow(now);
         self.dispatch(now, out);
     }
 
+    /// The one place where an engine comes to what is open to workloads, and leaves it.
+    fn enlist(&mut self, at: usize, listed: bool) {
+        let engine = &mut self.engines[at];
+        self.listed = self.listed + usize::from(listed) - usize::from(engine.listed);
+        engine.listed = listed;
+        let (row, key, ready) = (engine.row, engine.key, engine.ready());
+        for (wlm, _) in self.wlms.iter_mut().zip(&self.facts.workloads).filter(|(_, f)| placed(f, &row)) {
+            if ready { wlm.open.enter(key, row.kind) } else { wlm.open.leave(key, row.kind) }
+        }
+    }
+
+    /// The subset of each workload's engines, by place: those that the own traffic keeps heard of. Guards against
+    /// traffic so thin that no report is fresh and all gateways have something out everywhere. Hurts where what
+    /// only few engines have warm lies in few subsets.
+    fn narrow(&mut self, now: Nanos) {
+        let span = now.saturating_sub(self.started).clamp(SECOND, self.budget.window.max(SECOND));
+        let heard = self.taken.count_since(now - span.min(now)) as f64 / seconds(span)
+            * seconds(REPORT_FRESH)
+            / HEARD;
+        let gateways = self.facts.gateways as f64;
+        for row in &mut self.wlms {
+            row.open_cores = row.open.cores(&self.facts.kinds).max(1.0);
+            let open = row.open.len() as f64;
+            let kept = heard.min(MOST_KEPT).max(HOLDERS * open / gateways).max(FEWEST_KEPT).ceil().min(open);
+            (row.kept, row.holders) = (kept as usize, gateways * kept / open.max(1.0));
+        }
+        let narrowed = self.wlms.iter().filter(|row| row.kept < row.open.len()).map(|row| row.kept);
+        self.spread = narrowed.max().unwrap_or(self.listed);
+    }
+
     /// Asks the rules once more as an execution begins to leave; windows count from then. Refused: unsent.
     pub fn begins(&mut self, now: Nanos, ix: StmtIx, execution: u32) -> bool {
         let stmt = self.stmts.get(ix.0).and_then(Option::as_ref).filter(|stmt| stmt.stage == Stage::Running);
@@ -317,20 +342,17 @@
         let Some(&Execution { engine: to, since, cold_cost: cost, .. }) = out else { return false };
         let permitted = self.permitted(now, ix, Act::Begin(to));
         if permitted {
-            let (cold, further) = self.uncount(ix, to, (since, cost));
-            self.engines[to.0].cold_sends.extend(cold.then_some((now, cost)));
-            self.further.extend(further.then_some(now));
+            let (sent, further) = self.uncount(ix, to, (since, cost));
+            sent.then(|| self.engines[to.0].sends.push(now, cost));
+            further.then(|| self.further.push(now, 0.0));
         }
         permitted
     }
 
-    /// Takes a send out of a cold engine's window, and out of the budget's: whether it was there.
-    fn uncount(&mut self, ix: StmtIx, to: EngineIx, send: (Nanos, f64)) -> (bool, bool) {
-        let (sends, stmt) = (&mut self.engines[to.0].cold_sends, &self.stmts[ix.0]);
-        let cold = sends.iter().position(|&sent| sent == send).and_then(|i| sends.remove(i));
-        let again = |&at: &Nanos| at == send.0 && stmt.as_ref().is_some_and(|stmt| stmt.sent() > 1);
-        let at = self.further.iter().position(again);
-        (cold.is_some(), at.and_then(|i| self.further.remove(i)).is_some())
+    /// Takes a send out of its engine's window, and out of the budget's: whether it was there.
+    fn uncount(&mut self, ix: StmtIx, to: EngineIx, (at, cost): (Nanos, f64)) -> (bool, bool) {
+        let again = self.stmts[ix.0].as_ref().is_some_and(|stmt| stmt.sent() > 1);
+        (self.engines[to.0].sends.take(at, cost), again && self.further.take(at, 0.0))
     }
 
     /// What all gateways together say of an engine. One that others found well again is judged anew.
@@ -379,17 +401,11 @@
 
     fn note_load(&mut self, now: Nanos, tag: u32, begins: bool) {
         let longest = self.facts.workloads.iter().map(|w| w.statement_timeout).max().unwrap_or(0);
-        if begins {
-            let (count, _) = self.loads.get(&tag).copied().unwrap_or_default();
-            self.loads.insert(tag, (count + 1, now + longest));
-        } else if let Some(held) = self.loads.get_mut(&tag) {
-            held.0 -= 1;
-        }
-        self.loads.retain(|_, (count, until)| *count > 0 && *until > now);
+        self.loads.note(now, tag, begins, longest);
     }
 
     fn holds(&self, now: Nanos, engine: &Engine, group: u32) -> bool {
-        self.loads.get(&load_tag(engine.row.id, group)).is_some_and(|l| l.1 > now)
+        self.loads.hold(now, load_tag(engine.row.id, group))
     }
 
     fn read_report(&mut self, now: Nanos, ix: EngineIx, report: &[f32]) {
@@ -478,8 +494,9 @@
         (stmt.executions, stmt.errors, stmt.may_have_run) = (1, 1, Some((at, now)));
         let (wlm, group) = (stmt.wlm, stmt.group);
         self.engines[at.0].out += 1;
+        self.wlms[wlm].out += 1;
         self.engines[at.0].threads[usize::from(self.wlms[wlm].long)] += self.facts.workloads[wlm].threads;
-        self.further.push_back(now);
+        self.further.push(now, 0.0);
         if self.facts.workloads[wlm].is_load {
             self.load_moves(now, at, group, true, out);
         }
@@ -507,13 +524,9 @@
             row.demand += DEMAND_LEARN * (if w == wlm { work } else { 0.0 } - row.demand);
         }
         let mut importance = facts.importance;
-        if let Some((left, at)) = self.allowances.get_mut(arrival.customer) {
+        if let Some(allowance) = self.allowances.get_mut(arrival.customer) {
             let rate = self.facts.customers[arrival.customer].allowance_per_s * self.parts[arrival.customer];
-            *left = (*left + rate * seconds(now - *at)).min((rate * ALLOWANCE_BURST_S).max(1.0));
-            *at = now;
-            if *left >= 1.0 {
-                *left -= 1.0;
-            } else {
+            if !allowance.take(now, rate, (rate * ALLOWANCE_BURST_S).max(1.0)) {
                 importance *= self.facts.over_share_importance;
             }
         }
@@ -534,7 +547,6 @@
             cold_work: told.max(estimate),
             estimated_mb: arrival.estimated_mb,
             importance,
-            due: Some(now + nanos(slo)),
             wait_until: now + nanos(WAIT_PART * slo).min(arrival.time_left / 2),
             ..Stmt::default()
         };
@@ -544,10 +556,11 @@
         self.stmts.resize_with(self.stmts.len().max(ix.0 + 1), || None);
         self.stmts[ix.0] = Some(stmt);
         self.in_hand += 1;
-        self.taken.push_back(now);
+        self.taken.push(now, 0.0);
         for times in [&mut self.taken, &mut self.further] {
-            times.retain(|&t| t + self.budget.window >= now);
+            times.drop_before(now.saturating_sub(self.budget.window));
         }
+        self.narrow(now);
         self.wlms[wlm].queue.push(ix);
         true
     }
@@ -586,6 +599,7 @@
         let (wlm, group, threads) = (stmt.wlm, stmt.group, self.facts.workloads[stmt.wlm].threads);
         let engine = &mut self.engines[execution.engine.0];
         engine.out -= 1;
+        self.wlms[wlm].out -= 1;
         engine.threads[usize::from(self.wlms[wlm].long)] -= threads;
         if !ended.outcome.never_ran() {
             stmt.may_have_run.get_or_insert((execution.engine, execution.since));
@@ -617,8 +631,6 @@
         self.read_report(now, execution.engine, ended.report);
         let Some(stmt) = self.stmts[ix.0].as_mut() else { return };
         if ended.closed {
-            let in_time = completed && stmt.due.take().is_some();
-            in_time.then(|| self.settled(now, false));
             self.turn(ix, Stage::Answered);
         } else if stmt.stage != Stage::Answered {
             stmt.wait_until = now + stmt.deadline.saturating_sub(now) / 8;
@@ -661,17 +673,13 @@
         // Rule 1: whatever is still without an answer at the last moment gets one, here at the latest.
         let last_moment = now + 2 * self.facts.tick.max(SECOND / 1000);
         for s in 0..self.stmts.len() {
-            let Some(stmt) = &mut self.stmts[s] else { continue };
-            let over =
-                stmt.deadline <= last_moment && !matches!(stmt.stage, Stage::Answered | Stage::Streaming);
-            let late = stmt.sent() > 0 && stmt.due.take_if(|due| *due <= now).is_some();
-            late.then(|| self.settled(now, true));
-            if over {
+            let open = |s: &&Stmt| !matches!(s.stage, Stage::Answered | Stage::Streaming);
+            if self.stmts[s].as_ref().filter(open).is_some_and(|stmt| stmt.deadline <= last_moment) {
                 self.give_up(now, StmtIx(s), out);
             }
         }
         self.dispatch(now, out);
-        self.keys.retain(|_, line| !line.line.is_empty() || line.rest_until > now);
+        self.keys.retain(|_, line| !line.is_over(now));
         self.set_wake(out);
     }
 
@@ -682,19 +690,6 @@
         }
     }
 
-    /// One that was sent is late, or in time. Guards against hundreds of gateways that each add little: each
-    /// cuts what it has in hand, on evidence of its own each time. Hurts where engines are slow otherwise.
-    fn settled(&mut self, now: Nanos, late: bool) {
-        self.late += 2.0 * LEARN * (f64::from(late) - self.late);
-        if self.late < MOST_LATE {
-            self.limit *= LIMIT_GROWTH;
-        } else if now >= self.limited + PRESSURE_HOLD {
-            (self.limit, self.limited, self.late) =
-                (self.limit.min(self.in_hand as f64) * LIMIT_CUT, now, self.late / 2.0);
-        }
-        self.limit = self.limit.max(LEAST_LIMIT).min(self.facts.most_held as f64);
-    }
-
     /// Follows the factor on the estimates that is enough for most statements of a workload. Guards against
     /// estimates too low or too high by workload: the one spills, the other takes memory from others.
     fn learn_memory(&mut self, ix: StmtIx, missing: f64) {
@@ -729,8 +724,9 @@
     }
 
     pub fn in_hand(&self) -> (usize, u32, f64) {
-        let out = self.engines.iter().map(|e| e.out).sum();
-        (self.in_hand, out, self.engines.iter().flat_map(|e| e.threads).sum())
+        let threads = |(row, facts): (&WorkloadRow, &Workload)| f64::from(row.out) * facts.threads;
+        let all = self.wlms.iter().zip(&self.facts.workloads).map(threads).sum();
+        (self.in_hand, self.wlms.iter().map(|row| row.out).sum(), all)
     }
 
     /// Sends what waits, most importance per work first; what has waited its part is sent or rejected.
@@ -763,7 +759,7 @@
             }
             let Some(stmt) = &self.stmts[ix.0] else { continue };
             let line = self.keys.get(&stmt.key);
-            let held = line.is_some_and(|l| l.line.front() != Some(&ix) || now < l.rest_until);
+            let held = line.is_some_and(|l| !l.is_first(ix) || now < l.rest_until);
             if !place || now >= stmt.wait_until && !(held && now + SECOND < stmt.deadline) {
                 self.give_up(now, ix, out);
             }
@@ -785,12 +781,16 @@
         ask
     }
 
-    /// The design's pick: distance, at least the floor, times the own recent sends a core; the next best
-    /// where an engine has no room.
+    /// The design's pick within the subset: distance, at least the floor, times the own recent sends a core; the
+    /// next best where an engine has no room. Those that may not be sent to and suspects make place for the next.
     fn pick(&self, now: Nanos, ix: StmtIx) -> Option<EngineIx> {
         let stmt = self.stmts[ix.0].as_ref()?;
-        let open: Vec<&Engine> =
-            self.engines.iter().filter(|e| self.permitted(now, ix, Act::Send(e.row.engine))).collect();
+        let row = &self.wlms[stmt.wlm];
+        // A repeat that only some engines drop may leave the subset: all of them are looked at.
+        let looks = if stmt.may_have_run.is_some() { usize::MAX } else { LOOKS * row.kept };
+        let permitted = |at: &EngineIx| self.permitted(now, ix, Act::Send(*at));
+        let open = row.open.iter().take(looks).filter(permitted).take(WIDENS * row.kept);
+        let open: Vec<&Engine> = open.map(|at| &self.engines[at.0]).collect();
         let good = open.iter().filter(|e| !e.failing && !e.shunned && !e.unanswered(now)).count();
         let trust_all = (good as f64) < (1.0 - MOST_SUSPECTED) * open.len() as f64;
         let apart = self.loads_block_others && self.facts.workloads[stmt.wlm].is_load;
@@ -804,7 +804,11 @@
         let unanswered = open.iter().filter(|e| e.unanswered(now)).count();
         let asked_out = self.facts.may_probe && long && stmt.asks >= ASKS + unanswered;
         let mut best: Option<(bool, f64, EngineIx)> = None;
+        let mut used = 0;
         for engine in &open {
+            if used >= row.kept && best.is_some() {
+                break;
+            }
             let at = engine.row.engine;
             let tried = trial && now >= engine.next_trial;
             let shunned = engine.shunned && !(tried && engine.may_try);
@@ -812,6 +816,7 @@
             if out && !trust_all {
                 continue;
             }
+            used += 1;
             let Some(pressed) = self.room(now, stmt, engine) else { continue };
             if asked_out && engine.asked.is_none() && now >= engine.reported_at + REPORT_FRESH {
                 continue;
@@ -822,7 +827,7 @@
             if apart {
                 weighted *= 1.0 + self.recent.iter().filter(|&&s| s == (at, stmt.group)).count() as f64;
             }
-            if best.is_none_or(|(p, least, _)| (pressed, weighted) < (p, least)) {
+            if best.is_none_or(|least| (pressed, weighted, at) < least) {
                 best = Some((pressed, weighted, at));
             }
         }
@@ -841,7 +846,7 @@
         let cores = self.cores(engine.row.engine);
         // Threads beyond the cores are pressure too, the others' as last reported, or by the own share.
         let own = engine.threads[0] + engine.threads[1];
-        let gateways = self.facts.gateways as f64;
+        let gateways = self.wlms[stmt.wlm].holders;
         let fresh = now < engine.reported_at + REPORT_FRESH;
         let all = if fresh { own + LATE * engine.others } else { own * gateways };
         if now >= engine.pressure_until && all < BUSY_THREADS * cores {
@@ -860,15 +865,14 @@
         (within(engine.threads[usize::from(long)], kind_bound) && within(own, TOTAL_BOUND)).then_some(true)
     }
 
-    /// The last of the places, the clients' or what `settled` leaves, are for what earns much for its time.
-    /// Guards against few that run long keeping out many. Hurts where estimates mislead.
+    /// The last of the places are for what earns much for its time. Guards against few that run long keeping out
+    /// many. Hurts where estimates mislead.
     fn has_place(&self, stmt: &Stmt) -> bool {
         let time = |work: f64, wlm: usize| work / self.facts.workloads[wlm].threads.max(1.0);
         let usual: f64 = (0..self.wlms.len()).map(|w| time(self.wlms[w].demand, w)).sum();
         let earns = stmt.importance / time(stmt.work, stmt.wlm);
         let part = (earns * usual / self.importance.max(1e-9) / EARNS_FULL).min(1.0);
-        let free = if self.limit < self.facts.most_held as f64 { PLACES_CROWDED } else { PLACES_FREE };
-        self.in_hand as f64 <= self.limit * (free + (1.0 - free) * part)
+        self.in_hand as f64 <= self.facts.most_held as f64 * (PLACES_FREE + (1.0 - PLACES_FREE) * part)
     }
 
     /// An engine's cores, less what workloads bound to fewer engines need there. Guards against statements
@@ -894,9 +898,7 @@
         self.turn(ix, Stage::Running);
         let Some(stmt) = &mut self.stmts[ix.0] else { return };
         let (wlm, facts) = (&self.wlms[stmt.wlm], &self.facts.workloads[stmt.wlm]);
-        if stmt.sent() > 0 {
-            self.further.push_back(now);
-        }
+        (stmt.sent() > 0).then(|| self.further.push(now, 0.0));
         if self.facts.priority_heeded || self.facts.memory_heeded {
             let over_share = stmt.importance < facts.importance;
             let grant_mb = if self.facts.memory_heeded { stmt.estimated_mb * wlm.memory_factor } else { 0.0 };
@@ -905,7 +907,7 @@
         }
         let timeout = stmt.deadline.saturating_sub(now + 2 * self.facts.tick).max(1);
         out.send(ix, to, timeout);
-        let cold_cost = stmt.cold_work;
+        let (group, is_load, wlm_ix, cold_cost) = (stmt.group, facts.is_load, stmt.wlm, stmt.cold_work);
         stmt.out = Some(Execution { engine: to, since: now, number: stmt.executions, cold_cost, word: now });
         stmt.executions += 1;
         let engine = &mut self.engines[to.0];
@@ -914,15 +916,15 @@
         engine.next_trial = now + TRIAL_GAP;
         self.since_trial = if engine.failing || engine.shunned { 0 } else { self.since_trial + 1 };
         engine.ema_point = [0, 1].map(|i| ALPHA * stmt.point[i] + (1.0 - ALPHA) * engine.ema_point[i]);
-        engine.cold_sends.push_back((now, cold_cost));
-        engine.cold_sends.retain(|(at, _)| at + self.facts.overload_window >= now);
-        let (group, is_load) = (stmt.group, facts.is_load);
+        engine.sends.push(now, cold_cost);
+        engine.sends.drop_before(now.saturating_sub(self.facts.overload_window));
+        self.wlms[wlm_ix].out += 1;
         if is_load {
             self.load_moves(now, to, group, true, out);
         }
         self.recent.push_back((to, group));
         self.engines[to.0].recent += 1;
-        while self.recent.len() > RECENT_SENDS * self.listed {
+        while self.recent.len() > RECENT_SENDS * self.spread {
             if let Some((oldest, _)) = self.recent.pop_front() {
                 self.engines[oldest.0].recent -= 1;
             }
@@ -1021,7 +1023,7 @@
             return false;
         }
         // Rule 4: in each window a cold engine gets its budget of work, and no more calls than that over mean
-        // work; parts by its start, told to all. One that began later doesn't know what its former self sent.
+        // work; parts by the gateways' places there. One that began later doesn't know what its former self sent.
         if engine.row.started_at > 0 && now < engine.row.started_at.saturating_add(self.facts.warm_up) {
             let age = seconds(now.saturating_sub(engine.row.started_at)) / seconds(self.facts.warm_up);
             let warm = self.facts.cold_from + COLD_GROWTH * (1.0 - self.facts.cold_from).max(0.0) * age;
@@ -1029,20 +1031,20 @@
             let budget = COLD_SAFETY * self.facts.overload_factor * self.cores(to) * warm * window;
             let (gateways, calls) = (self.facts.gateways as f64, (budget / self.mean_work).floor().max(1.0));
             let sharing = calls.min(gateways);
-            let first = unit_hash(&(engine.row.id, engine.row.started_at)) * gateways;
-            let place = (self.facts.me as f64 - first.floor()).rem_euclid(gateways);
+            let place = f64::from(engine.key.place());
             let part = ((calls + place) / sharing).floor();
-            let recent = engine.cold_sends.iter().filter(|(at, _)| at + self.facts.overload_window >= now);
-            let more = if begins { (0.0, 0.0) } else { (1.0, stmt.cold_work) };
-            let sent = recent.fold(more, |sum, (_, cost)| (sum.0 + 1.0, sum.1 + cost));
-            let knows = engine.row.started_at.max(now - self.facts.overload_window.min(now)) >= self.started;
-            if !knows || place >= sharing || sent.0 > part || sent.1 > budget / sharing {
+            let from = now.saturating_sub(self.facts.overload_window);
+            let more = if begins { (0, 0.0) } else { (1, stmt.cold_work) };
+            let sent = (engine.sends.count_since(from) + more.0) as f64;
+            let work = engine.sends.cost_since(from) + more.1;
+            let knows = engine.row.started_at.max(from) >= self.started;
+            if !knows || place >= sharing || sent > part || work > budget / sharing {
                 return false;
             }
         }
         // Rule 5: a key's statements one at a time, in turn, and after a doubt the key rests.
         if let Some(line) = self.keys.get(&stmt.key).filter(|_| stmt.key != 0)
-            && (line.line.front() != Some(&ix) || (before == 0 && now < line.rest_until))
+            && (!line.is_first(ix) || (before == 0 && now < line.rest_until))
         {
             return false;
         }
@@ -1056,12 +1058,10 @@
     }
 
     fn within_budget(&self, now: Nanos, more: usize) -> bool {
-        let within = |times: &VecDeque<Nanos>, window: Nanos| {
-            times.len() - times.partition_point(|&t| t + window < now)
-        };
-        let taken = within(&self.taken, self.budget.window.saturating_sub(2 * self.facts.tick)) as f64;
-        (within(&self.further, self.budget.window) + more) as f64
-            <= self.budget.free + self.budget.per_statement * taken
+        let (window, ticks) = (self.budget.window, 2 * self.facts.tick);
+        let taken = self.taken.count_since(now.saturating_sub(window.saturating_sub(ticks))) as f64;
+        let further = self.further.count_since(now.saturating_sub(window)) + more;
+        further as f64 <= self.budget.free + self.budget.per_statement * taken
     }
 
     fn chance(&mut self) -> f64 {
--- a/crates/ivypitch/tests/scenarios.rs
+++ b/crates/ivypitch/tests/scenarios.rs
@@ -8,12 +8,14 @@
 //! `begin S yes|no` asks whether the last execution of S may leave now. `names A yes|no` asks whether the module names an engine, `pass A B` gives its index to another.
 //! `adopt S WORKLOAD k=v .. / ENGINE` takes over an execution there; `advise ENGINE out|tries|well|none` and `part C X` tell what
 //! all gateways say and hold. `answer ENGINE REPORT` answers a probe; `list-many N k=v ..` lists N engines alike, `peer-bytes` sends raw bytes. `fleet N` plays the steps as each of N gateways; `together A B` bounds
-//! their sends in all, `first N STEP` is a step of the first N alone. `arrive-many N WORKLOAD k=v ..` are N statements alike.
+//! their sends in all, `first N STEP` is a step of the first N alone. `arrive-many N WORKLOAD k=v ..` are N statements alike,
+//! `serve N WORKLOAD [outcome=O]` N of as many table groups, each ended at once. `used A B` bounds the engines that the gateway has
+//! sent to, `held A B` the gateways of a fleet that have sent to an engine, `restart` begins it anew with nothing but its facts.
 
 use ivypitch::interface::*;
 use ivypitch::rules::Gateway;
 use ivypitch::units::load_tag;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use test_case::test_case;
 
 const MS: Nanos = SECOND / 1000;
@@ -25,6 +27,7 @@
     engines: Vec<String>,
     /// The engine and number of each statement's last execution.
     sent: BTreeMap<usize, (EngineIx, u32)>,
+    used: BTreeSet<EngineIx>,
     wakes: Vec<(Nanos, u64)>,
     now: Nanos,
 }
@@ -39,6 +42,7 @@
     fn send(&mut self, stmt: StmtIx, engine: EngineIx, _timeout: Nanos) {
         let number = self.sent.get(&stmt.0).map_or(0, |s| s.1 + 1);
         self.sent.insert(stmt.0, (engine, number));
+        self.used.insert(engine);
         let name = self.engines[engine.0].clone();
         self.act("send", stmt, &name);
     }
@@ -365,6 +369,25 @@
                     self.step(&format!("arrive {name} {}", words[2..].join(" ")));
                 }
             }
+            "serve" => {
+                for i in 0..words[1].parse::<usize>().unwrap() {
+                    let name = format!("s{i}-{}", self.seen.stmts.len());
+                    let stmt = self.seen.stmts.len();
+                    self.step(&format!("arrive {name} {} group={i}", words[2]));
+                    let mut ended = None;
+                    // As often as it is sent, once each.
+                    while self.seen.sent.get(&stmt).map(|sent| sent.1) != ended {
+                        ended = self.seen.sent.get(&stmt).map(|sent| sent.1);
+                        self.step(&format!("end {name} {}", f.text("outcome").unwrap_or("completed")));
+                    }
+                }
+            }
+            "used" => {
+                let bounds: Vec<usize> = words[1..].iter().map(|n| n.parse().unwrap()).collect();
+                let used = self.seen.used.len();
+                assert!((bounds[0]..=bounds[1]).contains(&used), "{used} engines used, {bounds:?} wanted");
+            }
+            "restart" => self.gateway = None,
             "first" => {
                 if self.facts.me < words[1].parse().unwrap() {
                     self.step(&words[2..].join(" "));
@@ -417,6 +440,7 @@
 #[test_case("fleet")]
 #[test_case("leaving")]
 #[test_case("crowded")]
+#[test_case("subset")]
 fn scenario(name: &str) {
     let path = format!("{}/tests/scenarios/{name}.txt", env!("CARGO_MANIFEST_DIR"));
     let text = std::fs::read_to_string(path).expect("the scenario's file");
@@ -424,7 +448,7 @@
     for scenario in text.split("\nscenario ").skip(1) {
         let (title, steps) = scenario.split_once('\n').expect("a title and steps");
         let fleet = steps.lines().find_map(|l| l.strip_prefix("fleet ")).map_or(1, |n| n.parse().unwrap());
-        let mut sends = 0;
+        let (mut sends, mut holders) = (0, BTreeMap::<EngineIx, usize>::new());
         for me in 0..fleet {
             let mut play = Play {
                 facts: facts(),
@@ -436,17 +460,27 @@
             play.facts.me = me;
             for (i, line) in steps.lines().enumerate() {
                 let line = line.split('#').next().unwrap_or("").trim();
-                if line.is_empty() || line.starts_with("fleet ") || line.starts_with("together ") {
+                let of_all = ["fleet ", "together ", "held "];
+                if line.is_empty() || of_all.iter().any(|word| line.starts_with(word)) {
                     continue;
                 }
                 println!("{title}, line {}: {line}", i + 1);
                 line.split("; ").for_each(|step| play.step(step));
             }
+            play.seen.used.iter().for_each(|&engine| *holders.entry(engine).or_default() += 1);
             sends += play.seen.actions.iter().filter(|a| a.starts_with("send ")).count();
         }
-        if let Some(bounds) = steps.lines().find_map(|l| l.strip_prefix("together ")) {
-            let bounds: Vec<usize> = bounds.split(' ').map(|n| n.parse().unwrap()).collect();
+        let bounds = |word: &str| {
+            let line = steps.lines().find_map(|l| l.strip_prefix(word))?;
+            Some(line.split(' ').map(|n| n.parse().unwrap()).collect::<Vec<usize>>())
+        };
+        if let Some(bounds) = bounds("together ") {
             assert!((bounds[0]..=bounds[1]).contains(&sends), "{title}: {sends} sends together");
         }
+        if let Some(bounds) = bounds("held ") {
+            println!("{title}: {holders:?}");
+            let within = |held: &usize| (bounds[0]..=bounds[1]).contains(held);
+            assert!(holders.values().all(within), "{title}: {holders:?}");
+        }
     }
 }
