`ivypitch lab run scale`: slopes of every part to 3,800 gateways and 44,000 engines

`experiments/scale/`: `slope.rs` fits line and power by least squares and says what they miss; `module.rs`, `peers.rs` and `changes.rs` measure in virtual time; `capacity.rs` turns a recorded run into tables by role, with the size at which each budget is passed. Members tell what a cold start costs. Reports take notes, plots on log axes (`plot.rs`) and further files.

Bounds are ratios between sizes of one run.

Rows that the module touches are not counted yet: it tells none.

--- a/crates/ivypitch-lab/src/experiments/mod.rs
+++ b/crates/ivypitch-lab/src/experiments/mod.rs
@@ -6,6 +6,7 @@
 pub mod fleet_cut;
 pub mod gateway_loss;
 pub mod members;
+pub mod scale;
 pub mod shares;
 pub mod team_flood;
 
@@ -53,6 +54,11 @@
         about: "latency, processor time and bytes that it costs to outlive a gateway, where nothing is lost",
         run: custody_cost::play,
     },
+    Experiment {
+        name: "scale",
+        about: "what each part costs at 30 to 3,800 gateways and 80 to 44,000 engines, with slopes, in virtual time",
+        run: scale::play,
+    },
 ];
 
 /// Plans by the seed and those that follow it, over as many threads as there are cores.
--- /dev/null
+++ b/crates/ivypitch-lab/src/experiments/scale/module.rs
@@ -0,0 +1,218 @@
+//! The module before more and more engines: what a statement, a change of one row and a whole list cost it.
+
+use ivypitch::interface::*;
+use ivypitch_gateway::wire::journal;
+
+use super::slope::Measure;
+use crate::stand_ins::{event, row_at};
+use crate::virtual_time::cost;
+
+const MS: Nanos = 1_000_000;
+/// Statements in hand at a time, and the gateways that the module is told of.
+const IN_HAND: usize = 32;
+const GATEWAYS: usize = 300;
+/// Each cost is the middle one of so many batches.
+const BATCHES: usize = 5;
+
+#[derive(Default)]
+struct Sent(Vec<(StmtIx, EngineIx)>);
+
+impl Output for Sent {
+    fn send(&mut self, stmt: StmtIx, engine: EngineIx, _timeout: Nanos) {
+        self.0.push((stmt, engine));
+    }
+    fn withdraw(&mut self, _stmt: StmtIx, _execution: u32) {}
+    fn set_terms(&mut self, _stmt: StmtIx, _grant_mb: f64, _priority: u8) {}
+    fn reject(&mut self, _stmt: StmtIx, _come_back: Nanos) {}
+    fn abort(&mut self, _stmt: StmtIx) {}
+    fn forget(&mut self, _stmt: StmtIx) {}
+    fn wake(&mut self, _mark: u64, _after: Nanos) {}
+    fn probe(&mut self, _engine: EngineIx) {}
+    fn publish(&mut self, _bytes: &[u8]) {}
+    fn watch_list(&mut self) {}
+    fn log(&mut self, _line: &str) {}
+}
+
+fn facts() -> Deployment {
+    let workload = |slo: u64, threads: f64, importance: f64| Workload {
+        slo_time: slo * MS,
+        slo_stretch: 2.0,
+        statement_timeout: 20 * SECOND,
+        importance,
+        effect: Effect::Idempotent,
+        dedup_group: DedupGroup::All,
+        dedup_window: 0,
+        keeps_order: false,
+        allowed_zones: None,
+        allowed_kinds: None,
+        threads,
+        is_load: false,
+        waits_for_loads: false,
+    };
+    Deployment {
+        gateways: GATEWAYS,
+        tick: MS,
+        workloads: vec![workload(300, 1.0, 1.0), workload(3000, 2.0, 8.0)],
+        kinds: vec![EngineKind { cores: 16.0, memory_mb: 65536.0 }],
+        customers: vec![Customer { allowance_per_s: 1e9 }],
+        over_share_importance: 0.1,
+        most_held: 20_000,
+        report_fields: vec![ReportField::Inflight],
+        report_path: ReportPath::WithAnswers,
+        priority_heeded: true,
+        tells_cost: true,
+        may_withdraw: true,
+        max_executions: 4,
+        cold_from: 0.3,
+        warm_up: 14 * SECOND,
+        overload_factor: 2.5,
+        overload_window: 3 * SECOND,
+        execution_budget: Some(ExecutionBudget { window: 5 * SECOND, free: 5.0, per_statement: 0.2 }),
+        ..Deployment::default()
+    }
+}
+
+pub fn rows(engines: usize) -> Vec<EngineRow> {
+    let row = |e: usize| EngineRow {
+        engine: EngineIx(e),
+        id: e as u64 * 7919 + 17,
+        zone: (e % 24) as u16,
+        phase: EnginePhase::Ready,
+        weight: 1.0,
+        ..EngineRow::default()
+    };
+    (0..engines).map(row).collect()
+}
+
+/// A module that lists so many engines and has statements in hand.
+pub struct Played {
+    module: Gateway,
+    out: Sent,
+    now: Nanos,
+    seed: u64,
+    statement: usize,
+    in_hand: std::collections::VecDeque<(StmtIx, EngineIx)>,
+    pub unserved: u64,
+}
+
+use ivypitch::rules::Gateway;
+
+impl Played {
+    pub fn new(engines: usize, seed: u64) -> Played {
+        let mut module = Gateway::new(facts(), seed, 0);
+        let mut out = Sent::default();
+        module.engines_listed(0, ListKind::Full, &rows(engines), &mut out);
+        let in_hand = std::collections::VecDeque::new();
+        Played { module, out, now: SECOND, seed, statement: 0, in_hand, unserved: 0 }
+    }
+
+    /// `arrive` and `begins` of one statement, `execution_ended` of the one that has been out longest.
+    pub fn statement(&mut self) {
+        self.statement += 1;
+        self.now += 271_000;
+        let ix = StmtIx(self.statement % (4 * IN_HAND));
+        let arrival = Arrival {
+            workload: usize::from(self.statement.is_multiple_of(8)),
+            key: 0,
+            table_group: ((self.statement as u64 + self.seed) % 61) as u32,
+            time_left: 20 * SECOND,
+            is_repeat: false,
+            customer: 0,
+            estimated_mb: 0.0,
+            estimated_work: 40 * MS,
+        };
+        self.module.arrive(self.now, ix, arrival, &mut self.out);
+        for (stmt, engine) in std::mem::take(&mut self.out.0) {
+            if self.module.begins(self.now, stmt, 0) {
+                self.in_hand.push_back((stmt, engine));
+            } else {
+                self.unserved += 1;
+            }
+        }
+        if self.in_hand.len() > IN_HAND
+            && let Some((stmt, engine)) = self.in_hand.pop_front()
+        {
+            let ended = Ended {
+                execution: 0,
+                engine,
+                outcome: Outcome::Completed,
+                took: 9 * MS,
+                closed: true,
+                true_cost: Some((40.0, 0.0)),
+                report: &[1.0],
+            };
+            self.module.execution_ended(self.now, stmt, &ended, &mut self.out);
+        }
+    }
+
+    pub fn change(&mut self, engines: usize) {
+        self.now += MS;
+        self.statement += 1;
+        let mut row = rows(1)[0];
+        let e = self.statement % engines;
+        (row.engine, row.id) = (EngineIx(e), e as u64 * 7919 + 17);
+        (row.zone, row.weight) = ((e % 24) as u16, 1.0 + self.statement as f64 * 1e-6);
+        self.module.engines_listed(self.now, ListKind::Delta, &[row], &mut self.out);
+    }
+
+    pub fn whole_list(&mut self, rows: &[EngineRow]) {
+        self.now += MS;
+        self.module.engines_listed(self.now, ListKind::Full, rows, &mut self.out);
+    }
+}
+
+/// A line of the journal with so many rows.
+pub fn line(engines: usize, full: bool) -> String {
+    let row = |e: usize| {
+        let address = ([10, (e >> 16) as u8, (e >> 8) as u8, e as u8], 8123).into();
+        row_at(address, &format!("engine-{e:05}"), "ready", 1_790_000_000_000 + e as u64)
+    };
+    event(1, full, &(0..engines).map(row).collect::<Vec<String>>())
+}
+
+pub const SIZES: [usize; 5] = [80, 800, 1833, 8000, 44_000];
+
+pub fn measure(quick: bool, seed: u64) -> Vec<Measure> {
+    let mut costs: [Vec<(f64, f64)>; 6] = Default::default();
+    // First, and nothing dropped in between: memory that was freed would be used again and not seen.
+    let mut held = Vec::new();
+    for size in SIZES {
+        let copies = (80_000 / size).max(2);
+        let make = || (0..copies).map(|_| Played::new(size, seed)).collect::<Vec<_>>();
+        let (bytes, made) = cost::memory(make);
+        held.push(made);
+        costs[5].push((size as f64, bytes / copies as f64));
+    }
+    drop(held);
+    for size in SIZES {
+        let (x, mut played) = (size as f64, Played::new(size, seed));
+        // Warm up: as many sends as are counted as recent, as far as there is time for it.
+        let calls = (if quick { 400_000 } else { 4_000_000 } / size).clamp(20, 4000);
+        (0..(4 * calls).max(4 * IN_HAND)).for_each(|_| played.statement());
+        costs[0].push((x, cost::middle_us(BATCHES, calls, || played.statement())));
+        costs[1].push((x, cost::middle_us(BATCHES, calls, || played.change(size))));
+        let rows = rows(size);
+        let again = if size > 10_000 { 1 } else { 3 };
+        costs[2].push((x, cost::middle_us(again, 1, || played.whole_list(&rows))));
+        let line = line(size, true);
+        costs[3].push((x, line.len() as f64));
+        costs[4].push((x, cost::middle_us(3, 1, || drop(journal::read_line(line.as_bytes())))));
+    }
+    let told = [
+        ("module: processor time of a statement", "us"),
+        ("module: processor time of a change of one row", "us"),
+        ("module: processor time of a whole list told again", "us"),
+        ("journal: bytes of a whole list", "bytes"),
+        ("journal: processor time to read a whole list", "us"),
+        ("module: memory", "bytes"),
+    ];
+    let measure = |((what, unit), points)| Measure {
+        role: "gateway",
+        what,
+        unit,
+        by: "engines",
+        points,
+        is_simulated: true,
+    };
+    told.into_iter().zip(costs).map(measure).collect()
+}
--- a/crates/ivypitch-lab/src/lib.rs
+++ b/crates/ivypitch-lab/src/lib.rs
@@ -1,13 +1,14 @@
 //! The laboratory: engines as values in virtual time, and over sockets in real time; whole fleets of gateways in
 //! virtual time; open-loop traffic by seed; experiments with bounds; reports. Its constants are its own.
 //!
-//! Arrows: `command` and `demo` -> `experiments` -> `processes` -> `virtual_time` and `stand_ins`; `report` and
-//! `figures` know none of them.
+//! Arrows: `command` and `demo` -> `experiments` -> `processes` -> `virtual_time` and `stand_ins`; `report`,
+//! `plot` and `figures` know none of them.
 
 pub mod command;
 pub mod demo;
 pub mod experiments;
 pub mod figures;
+pub mod plot;
 pub mod processes;
 pub mod report;
 pub mod stand_ins;
--- a/crates/ivypitch-lab/src/report.rs
+++ b/crates/ivypitch-lab/src/report.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::figures::Figures;
+use crate::plot::{self, Plot};
 
 #[derive(Debug, Serialize)]
 pub struct Bound {
@@ -43,11 +44,25 @@
     pub seed: u64,
     pub runs: Vec<Run>,
     pub bounds: Vec<Bound>,
+    /// Lines that stand before the bounds.
+    pub notes: Vec<String>,
+    pub plots: Vec<Plot>,
+    /// Further files of the report: name and contents.
+    #[serde(skip)]
+    pub files: Vec<(String, String)>,
 }
 
 impl Report {
     pub fn new(experiment: &str, seed: u64) -> Report {
-        Report { experiment: experiment.to_owned(), seed, runs: Vec::new(), bounds: Vec::new() }
+        Report {
+            experiment: experiment.to_owned(),
+            seed,
+            runs: Vec::new(),
+            bounds: Vec::new(),
+            notes: Vec::new(),
+            plots: Vec::new(),
+            files: Vec::new(),
+        }
     }
 
     pub fn run(&mut self, place: &str, name: &str, figures: Figures) {
@@ -116,6 +131,9 @@
             }
         }
         text.push('\n');
+        for note in &self.notes {
+            let _ = writeln!(text, "{note}");
+        }
         for bound in &self.bounds {
             let holds = match bound.holds() {
                 _ if bound.told_only() => "told ",
@@ -133,8 +151,11 @@
         text
     }
 
-    /// Service by team and run as bars.
+    /// The plots; or service by team and run as bars, where there are none.
     pub fn svg(&self) -> String {
+        if !self.plots.is_empty() {
+            return plot::svg(&format!("{}, seed {}", self.experiment, self.seed), &self.plots);
+        }
         const BAR: usize = 22;
         let rows: Vec<(String, f64)> = self
             .runs
@@ -177,6 +198,9 @@
         let name = |ending: &str| folder.join(format!("{}.{ending}", self.experiment));
         std::fs::write(name("txt"), self.text())?;
         std::fs::write(name("json"), serde_json::to_string_pretty(self)?)?;
+        for (name, contents) in &self.files {
+            std::fs::write(folder.join(name), contents)?;
+        }
         std::fs::write(name("svg"), self.svg())
     }
 }
--- a/crates/ivypitch-lab/src/virtual_time/members_fleet.rs
+++ b/crates/ivypitch-lab/src/virtual_time/members_fleet.rs
@@ -7,6 +7,8 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
+use super::cost;
+
 const MS: Nanos = 1_000_000;
 
 #[derive(Clone, Copy, Debug)]
@@ -17,7 +19,9 @@
     pub drop: f64,
     /// Milliseconds that a datagram takes, from and to.
     pub way: (f64, f64),
-    /// Seconds after all have found each other.
+    /// Seconds after all have found each other that are not counted, as the news of the start still go round; and
+    /// those that are.
+    pub settles: u64,
     pub seconds: u64,
     /// One is killed each so many milliseconds, and comes back 1.5 s later; 0: none.
     pub kill_each: u64,
@@ -42,6 +46,13 @@
     pub bytes_a_member_s: f64,
     /// Until all heard all, from the first start.
     pub joined_ms: u64,
+    /// Bytes that a member sent until what is counted begins; and in the busiest second of it.
+    pub started_bytes_a_member: f64,
+    pub busiest_bytes_a_member_s: f64,
+    /// Processor time of a member a second, once all hear all; this simulator's queue is in it.
+    pub cpu_a_member_s: f64,
+    /// Memory of a member as all hear all, the datagrams under way in it.
+    pub memory_a_member: f64,
     /// Of a cut: members on the smaller side that doubted themselves, of all there, and of the others.
     pub doubted: u64,
     pub doubted_elsewhere: u64,
@@ -158,17 +169,29 @@
         bytes: 0,
     };
     let mut told = Told::default();
+    let held = cost::resident();
     for i in 0..n {
         sim.start(i);
     }
-    // Until all hear all.
+    // Until all hear all, and the news of it have gone round.
     let all = |sim: &Sim| sim.members.iter().flatten().all(|m| usize::from(m.hearing().all_heard()) == n);
-    while !all(&sim) && sim.now < 60_000 * MS {
-        let until = sim.now + 100 * MS;
+    let mut settled = Nanos::MAX;
+    let mut by_second: BTreeMap<Nanos, u64> = BTreeMap::new();
+    while sim.now < settled {
+        if settled == Nanos::MAX && (all(&sim) || sim.now >= 60_000 * MS) {
+            told.joined_ms = sim.now / MS;
+            settled = sim.now + fleet.settles * 1000 * MS;
+            continue;
+        }
+        let (until, before) = (sim.now + 100 * MS, sim.bytes);
         sim.run(until, &mut |_, _, _, _| {});
+        *by_second.entry(sim.now / (1000 * MS)).or_default() += sim.bytes - before;
     }
-    told.joined_ms = sim.now / MS;
+    told.busiest_bytes_a_member_s = by_second.values().copied().max().unwrap_or(0) as f64 / n as f64;
+    told.started_bytes_a_member = sim.bytes as f64 / n as f64;
+    told.memory_a_member = (cost::resident() - held).max(0.0) / n as f64;
     (sim.sent, sim.bytes) = (0, 0);
+    let worked = cost::thread_s();
     let begun = sim.now;
     let end = begun + fleet.seconds * 1000 * MS;
     let mut killed: BTreeMap<(usize, u64), (Nanos, u64)> = BTreeMap::new();
@@ -236,6 +259,7 @@
     told.false_lost = falsely.len() as u64;
     told.false_words = falsely.values().sum();
     let member_seconds = n as f64 * fleet.seconds as f64;
+    told.cpu_a_member_s = (cost::thread_s() - worked) / member_seconds;
     told.datagrams_a_member_s = sim.sent as f64 / member_seconds;
     told.bytes_a_member_s = sim.bytes as f64 / member_seconds;
     (told.doubted, told.doubted_elsewhere) = doubts;
--- a/crates/ivypitch-lab/src/virtual_time/mod.rs
+++ b/crates/ivypitch-lab/src/virtual_time/mod.rs
@@ -1,9 +1,11 @@
 //! Whole fleets as values in virtual time: engines, gateways' deciding crates, networks with faults, open-loop
 //! traffic, all by a seed. Knows no process, no socket and no experiment.
 
+pub mod cost;
 pub mod custody_fleet;
 pub mod engine;
 pub mod faults;
+pub mod feed_fleet;
 pub mod fleet;
 pub mod members_fleet;
 pub mod shares_fleet;
