--- a/crates/ivypitch-lab/src/plot.rs
+++ b/crates/ivypitch-lab/src/plot.rs
@@ -25,7 +25,7 @@
 const BELOW: f64 = 40.0;
 const ACROSS: usize = 2;
 /// More would run into the next plot.
-const LONGEST_TITLE: usize = 76;
+const LONGEST_TITLE: usize = 70;
 
 /// Whole decades around all values, at least one.
 fn decades(values: impl Iterator<Item = f64>) -> (f64, f64) {
--- /dev/null
+++ b/crates/ivypitch-lab/tests/capacity.rs
@@ -0,0 +1,30 @@
+//! The page on capacity stands on the record of a run.
+
+use ivypitch_lab::experiments::scale::capacity::{Recorded, counts, rows, tables};
+
+const PAGE: &str = include_str!("../../../docs/CAPACITY.md");
+const RECORD: &str = include_str!("../../../docs/capacity.json");
+const BEGIN: &str = "<!-- printed by the experiment: begin -->\n";
+const END: &str = "<!-- printed by the experiment: end -->";
+
+#[test]
+fn the_pages_tables_are_those_that_the_recorded_run_gives() {
+    let recorded: Recorded = serde_json::from_str(RECORD).unwrap();
+    let shown = PAGE.split_once(BEGIN).and_then(|(_, rest)| rest.split_once(END)).map(|(shown, _)| shown);
+    assert_eq!(
+        shown,
+        Some(tables(&recorded).as_str()),
+        "the page has to be printed anew from docs/capacity.json"
+    );
+}
+
+#[test]
+fn every_row_with_a_measure_finds_it_in_the_record() {
+    let recorded: Recorded = serde_json::from_str(RECORD).unwrap();
+    for row in rows() {
+        if let Some(what) = row.from {
+            assert!(recorded.measures.iter().any(|m| m.what == what), "{what} was not recorded");
+        }
+        assert!((row.cost)(&recorded, &counts(3800.0)) > 0.0, "{} costs nothing", row.what);
+    }
+}
