--- a/crates/ivypitch-lab/src/experiments/scale/capacity.rs
+++ b/crates/ivypitch-lab/src/experiments/scale/capacity.rs
@@ -174,6 +174,24 @@
 const SUBSET: &str = "none today; a subset of engines by gateway is to";
 const GROUPS: &str = "none; peers by groups are to (below)";
 
+/// What the budgets are for: a gateway's control in all, with peers, and without custody's copies of statements.
+fn memory(r: &Recorded, n: &Counts) -> f64 {
+    let words = 16.0 * n.gateways * n.engines.min(WORDS_ON);
+    (r.at(ROWS, n.engines) + r.at(MEMBERS_MEMORY, n.gateways) + words) / MB
+}
+
+fn core(r: &Recorded, n: &Counts) -> f64 {
+    let verdicts = JUDGEMENTS * n.engines.min(WORDS_ON) / 80.0 * r.at(SHARES_JUDGE, n.gateways);
+    let statements = n.statements * (r.at(WITNESSES, n.gateways) + r.at(SHARES_SAW, n.engines));
+    let rest =
+        r.at(MEMBERS_CPU, n.gateways) + r.at(SHARES_WALK, n.engines) + n.changes * r.at(CHANGE, n.engines);
+    (verdicts + statements + rest) * 1e-4
+}
+
+fn bytes(r: &Recorded, n: &Counts) -> f64 {
+    (r.at(MEMBERS_BYTES, n.gateways) + r.at(LINKS_BYTES, n.gateways) + r.at(SHARES_BYTES, n.gateways)) / KB
+}
+
 pub fn rows() -> Vec<Row> {
     let gateway = Row {
         role: "gateway",
@@ -248,6 +266,13 @@
         row!(what: "bytes in, changes", unit: "KB/s", formula: "changes x 0.19",
             cost: |r, n| n.changes * r.at(CHANGE_BYTES, n.gateways) / n.gateways / KB, from: Some(CHANGE_BYTES),
             budget: Some(|_| BYTES), carried: "one line a change"),
+        row!(what: "all of it: memory, but for the line", unit: "MB", formula: "rows + members + words",
+            cost: memory, budget: Some(|_| MEMORY), carried: GROUPS),
+        row!(what: "all of it: processor time, but for the module's statements and links", unit: "% of a core",
+            formula: "members + verdicts + shares + witnesses + outcomes + changes",
+            cost: core, budget: Some(|_| CORE), carried: GROUPS),
+        row!(what: "all of it: bytes out at rest, but for custody", unit: "KB/s", formula: "members + links + shares",
+            cost: bytes, budget: Some(|_| BYTES), carried: GROUPS),
         row!(what: "messages out, members, links", unit: "1/s", formula: "c(gateways)", from: Some(LINKS_FRAMES),
             cost: |r, n| r.at(MEMBERS_DATAGRAMS, n.gateways) + r.at(LINKS_FRAMES, n.gateways), carried: GROUPS),
         row!(what: "messages out, custody", unit: "1/s", formula: "statements x c(gateways)",
--- a/crates/ivypitch-lab/src/experiments/scale/mod.rs
+++ b/crates/ivypitch-lab/src/experiments/scale/mod.rs
@@ -1,5 +1,6 @@
-//! The size to plan with: what each part costs at more and more gateways and engines, in virtual time. A cost that
-//! statements or changes have is to be flat; a cost of time is judged as a ratio between sizes of this run alone.
+//! The size to plan with: what each part costs at more and more gateways and engines, in virtual time. What a statement
+//! and a change cost the module is to be flat, what peers cost to grow no faster than the fleet until groups of them
+//! carry it; a cost of time is judged as a ratio between sizes of this run alone.
 //!
 //! Whole fleets are played as far as the simulator can: members hold each other, so that a fleet is the square of its
 //! size; the largest, 2,000, is played for its cold start alone. Shares and custody are played whole up
