--- a/crates/ivypitch-lab/src/experiments/scale/changes.rs
+++ b/crates/ivypitch-lab/src/experiments/scale/changes.rs
@@ -54,9 +54,14 @@
     }
     let base = calm(target, quick);
     let (from, until) = if quick { (4, 12) } else { (10, 40) };
+    // Regions lose each other for minutes.
+    let apart = match quick {
+        true => Fleet { cut: (from, until), ..base },
+        false => Fleet { cut: (10, 190), seconds: 200, ..base },
+    };
     let cases = [
         ("restarts at 20 times the target's rate", Fleet { restarts: RESTARTS * TIMES, ..base }),
-        ("a region cut off and coming back", Fleet { cut: (from, until), ..base }),
+        ("a region cut off and coming back", apart),
         ("a zone lost and coming back", Fleet { zone_lost: (from, until), ..base }),
         ("one machine serves all, calm", Fleet { servers: 1, ..base }),
     ];
