--- a/crates/ivypitch-gateway/src/actors/custody.rs
+++ b/crates/ivypitch-gateway/src/actors/custody.rs
@@ -167,9 +167,7 @@
 
     pub fn peer(&mut self, now: Nanos, peer: &Peer) {
         match peer {
-            Peer::Heard { from, message, .. } => {
-                self.custody.heard(now, *from, (**message).clone(), &mut self.acts);
-            }
+            Peer::Heard { from, message, .. } => self.heard(now, *from, (**message).clone()),
             Peer::Up { place, birth } => self.custody.member_up(now, *place, *birth),
             Peer::Down { place, birth } => self.custody.member_down(now, *place, *birth, &mut self.acts),
             Peer::Suspected { place, is } => self.custody.member_suspected(*place, *is),
@@ -177,6 +175,10 @@
         }
     }
 
+    pub fn heard(&mut self, now: Nanos, from: u16, message: Message) {
+        self.custody.heard(now, from, message, &mut self.acts);
+    }
+
     pub fn next_wake(&self) -> Nanos {
         let late = self.waiting.values().map(|w| w.deadline).min().unwrap_or(Nanos::MAX);
         self.custody.next_wake().min(late)
--- a/crates/ivypitch-gateway/src/actors/engine.rs
+++ b/crates/ivypitch-gateway/src/actors/engine.rs
@@ -21,6 +21,7 @@
 use crate::lifecycle::clock::Clock;
 use crate::state::connects::{ConnectCause, ConnectCounters};
 use crate::state::permits::{Permit, Permits};
+use crate::state::traffic::Traffic;
 use crate::wire::http::{self, Answer};
 
 /// An engine holds its news back for 250 ms at most, and answers to all else at once. What takes so much longer is
@@ -45,6 +46,7 @@
     pub is_used: bool,
     /// A 1xx answer came on it, which nobody asked for.
     informed: bool,
+    traffic: Rc<Traffic>,
     _permit: Permit,
 }
 
@@ -65,6 +67,7 @@
     connect_timeout: Duration,
     permits: Rc<Permits>,
     connects: Rc<ConnectCounters>,
+    traffic: Rc<Traffic>,
     pool: RefCell<Pool<Connection>>,
     clock: Clock,
     /// Told as a connection is kept, for the actor to close it in time.
@@ -79,12 +82,14 @@
         clock: Clock,
         permits: Rc<Permits>,
         connects: Rc<ConnectCounters>,
+        traffic: Rc<Traffic>,
     ) -> Rc<Link> {
         Rc::new(Link {
             address: Cell::new(address),
             connect_timeout,
             permits,
             connects,
+            traffic,
             pool: RefCell::new(Pool::new(pool)),
             clock,
             kept: async_channel::bounded(1),
@@ -178,6 +183,7 @@
                     input: BytesMut::new(),
                     is_used: false,
                     informed: false,
+                    traffic: self.traffic.clone(),
                     _permit: permit,
                 })
             }
@@ -285,7 +291,9 @@
     }
 
     pub async fn write(&mut self, request: &[u8]) -> Result<(), CallFault> {
-        (&self.stream).write_all(request).await.map_err(|_| CallFault::Unsent)
+        (&self.stream).write_all(request).await.map_err(|_| CallFault::Unsent)?;
+        self.traffic.engines.sent(request.len());
+        Ok(())
     }
 
     /// The whole answer, in time.
@@ -312,7 +320,7 @@
             }
             match read_some(&self.stream, &mut self.input).await {
                 Ok(0) | Err(_) => return Err(CallFault::NoAnswer),
-                Ok(_) => {}
+                Ok(n) => self.traffic.engines.received(n),
             }
         }
     }
--- a/crates/ivypitch-gateway/src/actors/list.rs
+++ b/crates/ivypitch-gateway/src/actors/list.rs
@@ -5,6 +5,7 @@
 use std::cell::RefCell;
 use std::net::{SocketAddr, TcpStream};
 use std::pin::Pin;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use async_channel::{Receiver, Sender};
@@ -16,6 +17,7 @@
 use super::ModuleMessage;
 use super::session::read_some;
 use crate::lifecycle::clock::Clock;
+use crate::state::traffic::Traffic;
 use crate::wire::journal::{self, Line};
 
 /// A whole line comes each second; after two without one the connection is taken for dead.
@@ -44,6 +46,7 @@
     pub module: Sender<ModuleMessage>,
     /// The module's actor wants to hear of all that the journal says, for the other gateways.
     pub shares: bool,
+    pub traffic: Rc<Traffic>,
 }
 
 impl List {
@@ -89,9 +92,11 @@
             Err(e) => return e,
         };
         self.feed.borrow_mut().connected();
-        if let Err(e) = (&stream).write_all(journal::tail(self.last()).as_bytes()).await {
+        let tail = journal::tail(self.last());
+        if let Err(e) = (&stream).write_all(tail.as_bytes()).await {
             return e.to_string();
         }
+        self.traffic.journal.sent(tail.len());
         let mut input = BytesMut::new();
         let mut silent_at = Instant::now() + SILENT;
         loop {
@@ -121,7 +126,7 @@
             };
             match read.or(never_came).or(late(silent_at, "silent")).await {
                 Ok(0) => return "closed".into(),
-                Ok(_) => {}
+                Ok(n) => self.traffic.journal.received(n),
                 Err(e) => {
                     if ahead.is_some_and(|at| at <= Instant::now()) {
                         self.feed.borrow_mut().never_came();
--- a/crates/ivypitch-gateway/src/actors/module.rs
+++ b/crates/ivypitch-gateway/src/actors/module.rs
@@ -31,6 +31,7 @@
 use crate::state::engines::{EngineIds, id_as_number};
 use crate::state::permits::Permits;
 use crate::state::statements::{Out, Statements};
+use crate::state::traffic::Traffic;
 use crate::wire::fields::{self, Fields};
 use crate::wire::http::Start;
 use crate::wire::journal::{Hosts, Known, Server};
@@ -119,11 +120,20 @@
     ready: Vec<bool>,
     permits: Rc<Permits>,
     connects: Rc<ConnectCounters>,
+    traffic: Rc<Traffic>,
     module: Sender<ModuleMessage>,
     executor: Rc<LocalExecutor<'static>>,
     gate: Gate,
 }
 
+/// The row of `SHOW FLEET`.
+#[derive(serde::Serialize)]
+struct ShownFleet<'a> {
+    #[serde(flatten)]
+    view: ivypitch_shares::View,
+    traffic: &'a Traffic,
+}
+
 /// What stands beside the module: the first two only where the own file sets them up.
 pub struct Parts {
     pub budgets: Option<Budgets>,
@@ -131,6 +141,7 @@
     pub sharing: Option<Sharing>,
     pub permits: Rc<Permits>,
     pub connects: Rc<ConnectCounters>,
+    pub traffic: Rc<Traffic>,
 }
 
 struct EngineActor {
@@ -155,7 +166,7 @@
         module: Sender<ModuleMessage>,
         executor: Rc<LocalExecutor<'static>>,
     ) -> Module {
-        let Parts { budgets, keeper, sharing, permits, connects } = parts;
+        let Parts { budgets, keeper, sharing, permits, connects, traffic } = parts;
         let now = clock.now();
         let has_queues = budgets.is_some();
         let customers = given.names.customers.clone();
@@ -189,6 +200,7 @@
                 ready: Vec::new(),
                 permits,
                 connects,
+                traffic,
                 module,
                 executor,
                 gate: Gate { gateway: gateway.clone(), clock },
@@ -591,7 +603,9 @@
                 }
             }
             ModuleMessage::ShowFleet { client } => {
-                let view = world.sharing.as_ref().map(|sharing| sharing.view(now));
+                let traffic = &*world.traffic;
+                let view =
+                    world.sharing.as_ref().map(|sharing| ShownFleet { view: sharing.view(now), traffic });
                 let text = view.and_then(|view| serde_json::to_string(&view).ok()).unwrap_or_default();
                 let _ = client.try_send(text);
             }
@@ -917,6 +931,7 @@
             self.clock,
             self.permits.clone(),
             self.connects.clone(),
+            self.traffic.clone(),
         );
         let (mailbox, letters) = async_channel::unbounded();
         self.executor.spawn(engine::run(link, letters, self.executor.clone())).detach();
--- a/crates/ivypitch-gateway/src/actors/peers.rs
+++ b/crates/ivypitch-gateway/src/actors/peers.rs
@@ -19,6 +19,7 @@
 use super::ModuleMessage;
 use super::session::read_some;
 use crate::lifecycle::clock::Clock;
+use crate::state::traffic::Traffic;
 use crate::wire::peers::{self, Frame};
 
 const CONNECT: Duration = Duration::from_millis(250);
@@ -111,6 +112,7 @@
     pub terms: Terms,
     pub birth: u64,
     pub seed: u64,
+    pub traffic: Rc<Traffic>,
 }
 
 struct Shared {
@@ -121,6 +123,7 @@
     module: Sender<ModuleMessage>,
     mailbox: Sender<PeersMessage>,
     executor: Rc<LocalExecutor<'static>>,
+    traffic: Rc<Traffic>,
     serial: Cell<u64>,
     /// Links that others opened to here.
     accepted: Cell<usize>,
@@ -169,6 +172,7 @@
             module,
             mailbox: mailbox.clone(),
             executor: executor.clone(),
+            traffic: start.traffic,
             serial: Cell::new(0),
             accepted: Cell::new(0),
             strangers: RefCell::default(),
@@ -203,6 +207,9 @@
             // Mail first: it is bounded by what the module says; a flood of datagrams must not hold it up.
             let step = mail.or(came).or(timer).await;
             let now = self.shared.clock.now();
+            if let Step::Datagram(n) = step {
+                self.shared.traffic.datagrams.received(n);
+            }
             match step {
                 Step::Datagram(n) => match peers::read_gossip(&datagram[..n]) {
                     None => self.members.datagram(now, &datagram[..n]),
@@ -231,7 +238,9 @@
         while let Some((place, data)) = self.members.next_send() {
             let Some(seat) = self.shared.roster.seats.get(usize::from(place)) else { continue };
             // A full socket drops it, as a network would.
-            let _ = self.datagrams.get_ref().send_to(&data, seat.address);
+            if self.datagrams.get_ref().send_to(&data, seat.address).is_ok() {
+                self.shared.traffic.datagrams.sent(data.len());
+            }
         }
         let tell = |peer| drop(self.shared.module.try_send(ModuleMessage::Peer(peer)));
         while let Some(news) = self.members.next_news() {
@@ -272,7 +281,10 @@
             PeersMessage::Say { to, message } => self.tell(to, &Frame::Shares(message)),
             PeersMessage::Gossip { to, gossip } => {
                 if let Some(seat) = self.shared.roster.seats.get(usize::from(to)) {
-                    let _ = self.datagrams.get_ref().send_to(&peers::write_gossip(&gossip), seat.address);
+                    let data = peers::write_gossip(&gossip);
+                    if self.datagrams.get_ref().send_to(&data, seat.address).is_ok() {
+                        self.shared.traffic.datagrams.sent(data.len());
+                    }
                 }
             }
             PeersMessage::Leave => self.members.leave(self.shared.clock.now()),
@@ -405,19 +417,20 @@
         Timer::after(HELLO).await;
         None
     };
-    let first = async { next_frame(stream, input).await };
+    let first = async { next_frame(shared, stream, input).await };
     first.or(late).await.and_then(|frame| shared.spoken_to(&frame))
 }
 
-async fn next_frame(stream: &Async<TcpStream>, input: &mut BytesMut) -> Option<Frame> {
+async fn next_frame(shared: &Shared, stream: &Async<TcpStream>, input: &mut BytesMut) -> Option<Frame> {
     loop {
         match peers::next(input) {
             Ok(Some(frame)) => return Some(frame),
             Ok(None) => {}
             Err(_) => return None,
         }
-        if read_some(stream, input).await.ok()? == 0 {
-            return None;
+        match read_some(stream, input).await.ok()? {
+            0 => return None,
+            n => shared.traffic.links.received(n),
         }
     }
 }
@@ -448,6 +461,7 @@
             if !written.or(late).await {
                 return;
             }
+            shared.traffic.links.sent(next.len());
             let said = async { frames.recv().await.ok().map(|frame| (frame.len(), frame)) };
             let beat = async {
                 Timer::after(BEAT).await;
@@ -466,7 +480,7 @@
                 Timer::at(silent_at).await;
                 None
             };
-            let frame = async { next_frame(&stream, &mut input).await };
+            let frame = async { next_frame(shared, &stream, &mut input).await };
             let Some(frame) = frame.or(late).await else { return };
             if !std::mem::replace(&mut greeted, true) && shared.spoken_to(&frame) != Some(place) {
                 return;
--- a/crates/ivypitch-gateway/src/lifecycle/program.rs
+++ b/crates/ivypitch-gateway/src/lifecycle/program.rs
@@ -32,6 +32,7 @@
 use crate::actors::{ModuleMessage, module, session};
 use crate::state::connects::ConnectCounters;
 use crate::state::permits::Permits;
+use crate::state::traffic::Traffic;
 
 /// After SIGTERM new connections go on coming for 0.4 s and requests on open ones for 0.2 s more.
 const OVERLAP: Duration = Duration::from_millis(700);
@@ -128,12 +129,14 @@
             .as_ref()
             .is_some_and(|(_, own)| own.peers.as_ref().is_some_and(|p| p.enabled && p.shares.enabled));
         sessions.show_fleet(sharing_on);
+        let traffic = Rc::new(Traffic::default());
         let follower = List {
             feed: RefCell::new(Feed::new(known.pos, seed)),
             clock,
             longest_line: bounds.journal_line,
             module: module.clone(),
             shares: sharing_on,
+            traffic: traffic.clone(),
         };
         let (list, list_mail) = async_channel::unbounded();
         let permits = Permits::new(bounds.engines);
@@ -152,6 +155,7 @@
                 terms: peering.terms,
                 birth,
                 seed,
+                traffic: traffic.clone(),
             };
             let mailbox = peers::Peers::start(start, clock, module.clone(), executor.clone())?;
             if own.shares.enabled {
@@ -167,7 +171,7 @@
             }
         }
         let connects = Rc::new(ConnectCounters::default());
-        let parts = module::Parts { budgets, keeper, sharing, permits, connects: connects.clone() };
+        let parts = module::Parts { budgets, keeper, sharing, permits, connects: connects.clone(), traffic };
         let actor = module::Module::new(given, parts, seed, clock, module.clone(), executor.clone());
         executor.spawn(actor.run(mailbox, known)).detach();
         executor.spawn(follower.run(journal, list_mail)).detach();
--- a/crates/ivypitch-gateway/src/state/mod.rs
+++ b/crates/ivypitch-gateway/src/state/mod.rs
@@ -6,3 +6,4 @@
 pub mod rows;
 pub mod sessions;
 pub mod statements;
+pub mod traffic;
