Hollow gateways and engines, many in a process, beside real ones; a burst of changes amid faults

Cause: a fleet of real processes ends at some tens of gateways on one machine, so nothing on sockets was tried or measured at the sizes to plan with; and no test put many changes of the list through while links drop and a gateway is away.

`hollow_engines.rs` answers the platform's protocol without work and counts starts, calls, bytes and connections by gateway. `usage.rs` reads a process from two of the system's files each. Relays count open connections, and datagrams also on ways without a link. `Fleet` starts all of these (`Setup::hollow`, `Engines::Hollow`).

--- a/crates/ivypitch-lab/src/command.rs
+++ b/crates/ivypitch-lab/src/command.rs
@@ -25,6 +25,12 @@
     /// One emulated engine as a process; the laboratory starts it.
     #[command(hide = true)]
     Engine(crate::processes::engine::EngineProcess),
+    /// Many gateways without clients in one process; the laboratory starts it.
+    #[command(hide = true)]
+    HollowGateways,
+    /// Many engines without work in one process; the laboratory starts it.
+    #[command(hide = true)]
+    HollowEngines,
 }
 
 #[derive(Args)]
@@ -55,6 +61,8 @@
             What::Run(run) => run.play(),
             What::Demo => demo::play(),
             What::Engine(engine) => engine.run(),
+            What::HollowGateways => crate::processes::hollow_gateways::serve(),
+            What::HollowEngines => crate::processes::hollow_engines::serve(),
         }
     }
 }
--- a/crates/ivypitch-lab/src/processes/mod.rs
+++ b/crates/ivypitch-lab/src/processes/mod.rs
@@ -2,12 +2,16 @@
 //! every way between them. Faults of processes and links follow a plan; what engines and clients counted is kept with
 //! its time. Only processes that were started here are signalled, by their id.
 
+pub mod child;
 pub mod clients;
 pub mod engine;
+pub mod hollow_engines;
+pub mod hollow_gateways;
 pub mod journal;
 pub mod relay;
 pub mod sockets;
 pub mod story;
+pub mod usage;
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -19,11 +23,15 @@
 
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::stand_ins::{PATIENCE, Seen, configuration, program};
+use crate::stand_ins::{Answer, Client, PATIENCE, Seen, configuration, program};
 use crate::virtual_time::faults::{Fault, Plan, What};
+use child::LabProcess;
 use engine::stamp;
+use hollow_engines::Park;
+use hollow_gateways::Crowd;
 use journal::Journal;
 use relay::{End, Net};
+use usage::{Engines as EngineCounts, Own, Sample, Usage};
 
 /// What a process said, with its microseconds.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -60,12 +68,18 @@
     /// Gateways reach the engines with no relay between, all by the address for the first: then what the journal says is
     /// the same for all.
     pub direct_engines: bool,
+    /// So many hollow gateways beside, at the places behind the real ones.
+    pub hollow: usize,
+    /// Hollow gateways say each event that they take, hollow engines each start.
+    pub hollow_tell: bool,
 }
 
 #[derive(Clone, Debug)]
 pub enum Engines {
     /// Emulated ones of so many cores.
     Processes { count: usize, cores: f64 },
+    /// Hollow ones, at the same address for all gateways; `spare` more are there and not listed.
+    Hollow { count: usize, spare: usize },
     /// A test's own: the address of each for each gateway.
     At(Vec<Vec<SocketAddr>>),
 }
@@ -82,6 +96,8 @@
             seed: 1,
             settings: |settings| settings,
             direct_engines: false,
+            hollow: 0,
+            hollow_tell: false,
         }
     }
 }
@@ -113,6 +129,12 @@
     pub net: Net,
     pub seats: Vec<Seat>,
     engines: Vec<EngineSeat>,
+    /// Hollow gateways and engines, where there are any.
+    pub crowd: Option<LabProcess>,
+    pub park: Option<LabProcess>,
+    crowd_journal: Option<Journal>,
+    /// Hollow engines that are not listed; their numbers follow those of the listed ones.
+    pub spare: Vec<SocketAddr>,
     pub said: Seen<Said>,
     pub done: Vec<Done>,
     /// Processes that ended without the plan, and lines of the log that no program may write.
@@ -145,7 +167,7 @@
         let net = Net::start(setup.seed);
         let told = |e: std::io::Error| e.to_string();
         let count = match &setup.engines {
-            Engines::Processes { count, .. } => *count,
+            Engines::Processes { count, .. } | Engines::Hollow { count, .. } => *count,
             Engines::At(all) => all.len(),
         };
         let engines = (0..count).map(|_| EngineSeat { listen: Vec::new(), child: None, orders: None });
@@ -153,6 +175,10 @@
             net,
             seats: Vec::new(),
             engines: engines.collect(),
+            crowd: None,
+            park: None,
+            crowd_journal: None,
+            spare: Vec::new(),
             said: Seen::new(),
             done: Vec::new(),
             crashes: Vec::new(),
@@ -162,16 +188,26 @@
         for e in 0..count {
             fleet.engines[e].listen = match &fleet.setup.engines {
                 Engines::Processes { .. } => (0..gateways).map(|_| free_port()).collect(),
+                Engines::Hollow { .. } => vec![free_port(); gateways],
                 Engines::At(all) => all[e].clone(),
             };
             fleet.start_engine(e)?;
         }
-        let peers_at: Vec<SocketAddr> = (0..gateways).map(|_| free_port()).collect();
+        if let Engines::Hollow { spare, .. } = fleet.setup.engines {
+            fleet.spare = (0..spare).map(|_| free_port()).collect();
+            let listed = fleet.engines.iter().map(|engine| engine.listen[0]);
+            let listen = listed.chain(fleet.spare.iter().copied()).collect();
+            let park = Park { listen, tells_starts: fleet.setup.hollow_tell };
+            let first = serde_json::to_string(&park).map_err(|e| e.to_string())?;
+            fleet.park = Some(LabProcess::start("hollow-engines", &first)?);
+        }
+        let peers_at: Vec<SocketAddr> = (0..gateways + fleet.setup.hollow).map(|_| free_port()).collect();
         for g in 0..gateways {
             let seat = fleet.seat(g, &peers_at).map_err(told)?;
             fleet.seats.push(seat);
         }
         (0..gateways).try_for_each(|g| fleet.start_gateway(g))?;
+        fleet.start_hollow(&peers_at)?;
         if fleet.setup.peers.is_some() {
             fleet.wait_joined()?;
         }
@@ -182,7 +218,7 @@
     fn wait_joined(&self) -> Result<(), String> {
         let until = Instant::now() + PATIENCE;
         for (g, seat) in self.seats.iter().enumerate() {
-            for other in (0..self.setup.gateways).filter(|&other| other != g) {
+            for other in (0..self.setup.gateways + self.setup.hollow).filter(|&other| other != g) {
                 let line = format!("member n{other} is up");
                 while !seat.log.all().iter().any(|said| said.ends_with(&line)) {
                     if Instant::now() > until {
@@ -193,9 +229,77 @@
                 }
             }
         }
+        if let Some(crowd) = &self.crowd {
+            crowd.lines.wait_for("hollow gateways", self.setup.hollow, |line| line.contains(" joined "));
+        }
+        Ok(())
+    }
+
+    /// The list of the own file; `at`: where each of the places is reached.
+    fn own(&self, at: impl Fn(usize) -> std::io::Result<SocketAddr>) -> std::io::Result<String> {
+        let mut list = Vec::new();
+        for other in 0..self.setup.gateways + self.setup.hollow {
+            let (at, zone) = (at(other)?, other % self.setup.zones);
+            list.push(format!(r#"{{"name":"n{other}","zone":"z{zone}","address":"{at}"}}"#));
+        }
+        let (own, list, peers) = (&self.setup.own, list.join(","), self.setup.peers.as_deref().unwrap_or(""));
+        Ok(format!(r#"{{{own}"peers":{{"gateways":[{list}],{peers}}}}}"#))
+    }
+
+    /// The hollow gateways follow one journal, and reach the real ones by a relay each.
+    fn start_hollow(&mut self, peers_at: &[SocketAddr]) -> Result<(), String> {
+        let told = |e: std::io::Error| e.to_string();
+        let (first, zones) = (self.setup.gateways, self.setup.zones);
+        if self.setup.hollow == 0 {
+            return Ok(());
+        }
+        let rows: Vec<String> = (self.engines.iter().enumerate())
+            .map(|(e, engine)| row(&format!("s-{e}"), engine.listen[0], e % zones, "in_service"))
+            .collect();
+        let journal = Journal::start(&rows).map_err(told)?;
+        let mut ways = Vec::new();
+        for hollow in first..first + self.setup.hollow {
+            let way = |g: usize| self.net.open(End::Gateway(hollow), End::Gateway(g), peers_at[g], true);
+            ways.push((0..first).map(way).collect::<std::io::Result<Vec<_>>>().map_err(told)?);
+        }
+        let crowd = Crowd {
+            own: self.own(|place| Ok(peers_at[place])).map_err(told)?,
+            first,
+            ways,
+            journal: journal.address,
+            customers: vec!["acme".into()],
+            longest_ms: self.setup.longest_ms,
+            seed: self.setup.seed,
+            tells_events: self.setup.hollow_tell,
+        };
+        let line = serde_json::to_string(&crowd).map_err(|e| e.to_string())?;
+        self.crowd = Some(LabProcess::start("hollow-gateways", &line)?);
+        self.crowd_journal = Some(journal);
         Ok(())
     }
 
+    /// What is known of a real gateway now; `None`: it is not there, or shares nothing and so shows nothing.
+    pub fn sample(&mut self, g: usize) -> Option<Sample> {
+        let seat = &self.seats[g];
+        let Answer::Rows(rows) = Client::reach(seat.address)?.try_ask("SHOW FLEET")? else { return None };
+        let own = Own::read(&serde_json::from_str(rows.first()?.first()?).ok()?)?;
+        let usage = Usage::of(seat.child.as_ref()?.id())?;
+        let relay = self.net.sums(End::Gateway(g));
+        let mut engines = EngineCounts::default();
+        if let Some(park) = &mut self.park {
+            let counts: Vec<hollow_engines::Counts> =
+                serde_json::from_str(&park.ask("count", "counts ")).ok()?;
+            for counts in counts.iter().filter(|counts| counts.gateway == g) {
+                engines.starts += counts.starts;
+                engines.bytes_in += counts.bytes_in;
+                engines.bytes_out += counts.bytes_out;
+                engines.open += counts.open;
+            }
+        }
+        let lost = self.seats[g].log.all().iter().filter(|line| line.contains(" is lost, ")).count() as u64;
+        Some(Sample { usage, own, relay, engines, lost })
+    }
+
     fn seat(&self, g: usize, peers_at: &[SocketAddr]) -> std::io::Result<Seat> {
         static NUMBER: AtomicUsize = AtomicUsize::new(0);
         let (zones, me) = (self.setup.zones, End::Gateway(g));
@@ -219,7 +323,7 @@
             .replace("\"name\":\"n0\"", &format!("\"name\":\"n{g}\""))
             .replace("\"zones\":[\"z\"]", &format!("\"zones\":[{}]", names.join(",")))
             .replace("\"journal\":\"\"", &format!("\"journal\":\"{journal_at}\""))
-            .replace("\"balancers\":1", &format!("\"balancers\":{}", self.setup.gateways))
+            .replace("\"balancers\":1", &format!("\"balancers\":{}", self.setup.gateways + self.setup.hollow))
             .replace("8c1f30d27a5be964", &format!("{:016x}", self.setup.seed ^ (g as u64) << 32))
             .replace(
                 "\"give-up-ns\":20000000000",
@@ -229,17 +333,11 @@
         let path = std::env::temp_dir().join(format!("fleet-{}-{number}.json", std::process::id()));
         std::fs::write(&path, (self.setup.settings)(config))?;
         let mut own = None;
-        if let Some(peers) = &self.setup.peers {
-            let mut list = Vec::new();
-            for (other, &target) in peers_at.iter().enumerate() {
-                let at = match other == g {
-                    true => target,
-                    false => self.net.open(me, End::Gateway(other), target, true)?,
-                };
-                list.push(format!(r#"{{"name":"n{other}","zone":"z{}","address":"{at}"}}"#, other % zones));
-            }
-            let list = list.join(",");
-            let text = format!(r#"{{{}"peers":{{"gateways":[{list}],{peers}}}}}"#, self.setup.own);
+        if self.setup.peers.is_some() {
+            let text = self.own(|other| match other == g {
+                true => Ok(peers_at[g]),
+                false => self.net.open(me, End::Gateway(other), peers_at[other], true),
+            })?;
             let own_path = path.with_extension("own.json");
             std::fs::write(&own_path, text)?;
             own = Some(own_path);
@@ -373,15 +471,16 @@
 
     /// Nothing passes between those of which `apart` holds, both ways or one.
     pub fn cut(&self, apart: impl Fn(usize, usize) -> bool, begins: bool) {
-        for a in 0..self.setup.gateways {
-            for b in (0..self.setup.gateways).filter(|&b| b != a && apart(a, b)) {
+        let places = self.setup.gateways + self.setup.hollow;
+        for a in 0..places {
+            for b in (0..places).filter(|&b| b != a && apart(a, b)) {
                 let (a, b) = (End::Gateway(a), End::Gateway(b));
                 if begins { self.net.silence(a, b) } else { self.net.hear(a, b) }
             }
         }
     }
 
-    fn apply(&mut self, fault: Fault, begins: bool) {
+    pub fn apply(&mut self, fault: Fault, begins: bool) {
         let zones = self.setup.zones;
         if begins {
             self.done.push(Done { at: stamp(), fault });
@@ -434,6 +533,16 @@
     /// The journal's word on an engine, to all gateways.
     pub fn tell_state(&self, engine: usize, state: &str) {
         (0..self.setup.gateways).for_each(|g| self.tell_state_to(g, engine, state));
+        if let Some(journal) = &self.crowd_journal {
+            let at = self.engines[engine].listen[0];
+            journal.tell(&[row(&format!("s-{engine}"), at, engine % self.setup.zones, state)]);
+        }
+    }
+
+    /// Another event to all, the same to each: only where all reach the engines by the same address.
+    pub fn tell_row(&self, row: &str) {
+        let journals = self.seats.iter().map(|seat| &seat.journal).chain(&self.crowd_journal);
+        journals.for_each(|journal| journal.tell(&[row.to_owned()]));
     }
 
     pub fn tell_state_to(&self, g: usize, engine: usize, state: &str) {
@@ -475,16 +584,16 @@
             let panics = self.seats[g].log.all().into_iter().filter(|line| line.contains("panicked"));
             self.crashes.extend(panics.map(|line| format!("n{g}: {line}")));
         }
+        for (name, hollow) in [("gateways", &mut self.crowd), ("engines", &mut self.park)] {
+            if hollow.as_mut().is_some_and(LabProcess::has_ended) {
+                self.crashes.push(format!("the hollow {name} ended by themselves"));
+            }
+        }
     }
 
     /// Microseconds of processor time that gateways which run now have used.
     pub fn cpu(&self) -> u64 {
-        let used = |child: &Child| {
-            let text = std::fs::read_to_string(format!("/proc/{}/stat", child.id())).ok()?;
-            let rest = text.rsplit_once(')')?.1.split_whitespace().collect::<Vec<_>>();
-            let ticks = rest.get(11)?.parse::<u64>().ok()? + rest.get(12)?.parse::<u64>().ok()?;
-            Some(ticks * 10_000)
-        };
+        let used = |child: &Child| usage::cpu_ticks_ns(child.id()).map(|ns| ns / 1000);
         self.seats.iter().filter_map(|seat| used(seat.child.as_ref()?)).sum()
     }
 }
@@ -509,5 +618,7 @@
             }
         }
         (0..self.engines.len()).for_each(|e| self.kill_engine(e));
+        self.crowd = None;
+        self.park = None;
     }
 }
--- a/crates/ivypitch-lab/src/processes/relay.rs
+++ b/crates/ivypitch-lab/src/processes/relay.rs
@@ -47,6 +47,17 @@
     torn: bool,
     pub bytes: u64,
     pub datagrams: u64,
+    /// Connections of this way that are up.
+    pub open: u64,
+}
+
+/// Of all ways from and to one end.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sums {
+    pub bytes_from: u64,
+    pub bytes_to: u64,
+    /// Connections that are up, whoever opened them.
+    pub open: u64,
 }
 
 const PIECE: usize = 16 << 10;
@@ -164,6 +175,17 @@
         self.shared.stuck.wait("piece on a silent way", |ends| *ends == (from, to));
     }
 
+    /// All that passed from one end and to it.
+    pub fn sums(&self, end: End) -> Sums {
+        let mut sums = Sums::default();
+        for (&(from, to), way) in self.shared.ways().iter() {
+            sums.bytes_from += if from == end { way.bytes } else { 0 };
+            sums.bytes_to += if to == end { way.bytes } else { 0 };
+            sums.open += if from == end || to == end { way.open } else { 0 };
+        }
+        sums
+    }
+
     /// Bytes and datagrams passed on between gateways.
     pub fn between_gateways(&self) -> (u64, u64) {
         let ways = self.shared.ways();
@@ -217,7 +239,9 @@
         if way.silent > 0 || rng.random_bool(way.drop) {
             continue;
         }
-        if let Some(way) = shared.ways().get_mut(&(from, to)) {
+        {
+            let mut ways = shared.ways();
+            let way = ways.entry((from, to)).or_default();
             way.bytes += n as u64;
             way.datagrams += 1;
         }
@@ -255,6 +279,7 @@
     };
     let Some(other) = connect.or(late).await else { return break_off(&stream) };
     let _ = other.get_ref().set_nodelay(true);
+    shared.ways().entry((from, to)).or_default().open += 1;
     let there = carry(&shared, (from, to), &stream, &other, seed);
     let back = carry(&shared, (to, from), &other, &stream, seed ^ 1);
     let whole = async {
@@ -265,7 +290,9 @@
         shared.until(from, to, |way| way.resets != before).await;
         false
     };
-    if !whole.or(broken).await {
+    let is_whole = whole.or(broken).await;
+    shared.ways().entry((from, to)).or_default().open -= 1;
+    if !is_whole {
         break_off(&stream);
         break_off(&other);
     }
--- a/crates/ivypitch-lab/src/processes/sockets.rs
+++ b/crates/ivypitch-lab/src/processes/sockets.rs
@@ -214,6 +214,8 @@
     pub path: String,
     headers: Vec<(String, String)>,
     pub body: String,
+    /// Of head and body as they came.
+    pub bytes: usize,
 }
 
 impl Call {
@@ -240,6 +242,7 @@
                 path: request.path.unwrap_or_default().to_owned(),
                 headers,
                 body: String::new(),
+                bytes: head,
             };
             let length = call.header("Content-Length").parse().unwrap_or(0usize).min(LARGEST);
             while input.len() < head + length {
@@ -249,6 +252,7 @@
             }
             input.advance(head);
             call.body = text(&input.split_to(length));
+            call.bytes += length;
             return Ok(Some(call));
         }
         if input.len() > LARGEST || read_some(stream, input).await? == 0 {
