--- a/crates/ivypitch-lab/src/experiments/scale/mod.rs
+++ b/crates/ivypitch-lab/src/experiments/scale/mod.rs
@@ -10,6 +10,7 @@
 pub mod changes;
 pub mod module;
 pub mod peers;
+pub mod processes;
 pub mod slope;
 
 use crate::plot::Plot;
