A load that was handed over is not told to witnesses as never sent

Cause: a planned stop ends what it handed over in its module as moot, which counts as never run; custody marked its grant void and told all witnesses 20 ms later. Where the hand-over was lost (or its claim came later than that) the next claimer found no grant, and the load was started a second time: a promise broken.

Change: what an execution came to counts only while this gateway acts for the statement.

--- a/crates/ivypitch-command/tests/takeover.rs
+++ b/crates/ivypitch-command/tests/takeover.rs
@@ -482,6 +482,23 @@
     assert!(!s.held.calls.all().iter().any(|(_, c)| c.is("DELETE") && c.path.ends_with("0000000000000002")));
 }
 
+#[test]
+fn a_planned_stop_whose_hand_over_is_lost_gives_nothing_to_run_again() {
+    // The second place is told to take it over.
+    let (req, _) = id_where(3, |all| all[0] == 1);
+    let mut s = scene(3).voting();
+    let _client = s.running(0, req);
+    s.fleet.net.silence(gateway(0), gateway(1));
+    s.fleet.signal(0, Signal::TERM);
+    s.fleet.seats[0].log.wait("hand over", |l| l.contains("custody hands 1 statements over"));
+    let mut back = s.sent(2, "load", req);
+    assert_eq!(s.fleet.end(0), Some(0));
+    s.held.wait_ask(req, 0, &[0]);
+    s.held.end(req);
+    assert_eq!(back.answer(1), rows(req));
+    assert_eq!(s.held.starts(req), 1, "it ran once");
+}
+
 #[test]
 fn a_gateway_without_peers_sends_no_load_that_another_might_have_sent() {
     let mut s = scene(3).voting();
--- a/crates/ivypitch-custody/src/custody.rs
+++ b/crates/ivypitch-custody/src/custody.rs
@@ -555,9 +555,11 @@
         Leave::Denied(Denied::Elsewhere)
     }
 
-    /// What came of an execution, told before the module hears of it.
+    /// What came of an execution, told before the module hears of it. Where this gateway acts for the statement no more it
+    /// proves nothing: one that was handed over ends here as never sent and runs on at its engine, and a witness that took
+    /// its grant for void would let it be sent again.
     pub fn execution_ended(&mut self, now: Nanos, id: Id, number: u32, never_ran: bool) {
-        let Some(case) = self.cases.get_mut(&id) else { return };
+        let Some(case) = self.cases.get_mut(&id).filter(|case| case.acts()) else { return };
         let mine = (case.epoch, number);
         let Some(grant) = case.grants.iter_mut().find(|g| (g.epoch, g.number) == mine) else { return };
         if never_ran && !grant.void {
