--- a/crates/ivypitch-custody/src/custody.rs
+++ b/crates/ivypitch-custody/src/custody.rs
@@ -589,6 +589,10 @@
         }
         let (customer, idempotent, told) = (case.facts.customer, case.facts.idempotent, case.is_told);
         let taken_over = case.stage == Stage::Watched;
+        // No grant that was used stands here: what became of it is elsewhere, if anywhere, and whoever comes back has that
+        // asked for anew instead of hearing the same for the rest of its time.
+        // Without a majority a single one sends all the same, under none.
+        let sent = self.terms.policy == Policy::Single || case.grants.iter().any(|grant| !grant.void);
         case.own = None;
         case.pending = None;
         let waited = !case.waiters.is_empty();
@@ -610,7 +614,7 @@
             }
             Word::Aborted | Word::Different => {
                 self.totals.in_doubt += u64::from(!idempotent);
-                self.turn(id, if idempotent { Stage::Closed } else { Stage::InDoubt });
+                self.turn(id, if idempotent || !sent { Stage::Closed } else { Stage::InDoubt });
                 End::Aborted
             }
         };
