--- a/crates/ivypitch-custody/src/custody.rs
+++ b/crates/ivypitch-custody/src/custody.rs
@@ -555,9 +555,11 @@
         Leave::Denied(Denied::Elsewhere)
     }
 
-    /// What came of an execution, told before the module hears of it.
+    /// What came of an execution, told before the module hears of it. Where this gateway acts for the statement no more it
+    /// proves nothing: one that was handed over ends here as never sent and runs on at its engine, and a witness that took
+    /// its grant for void would let it be sent again.
     pub fn execution_ended(&mut self, now: Nanos, id: Id, number: u32, never_ran: bool) {
-        let Some(case) = self.cases.get_mut(&id) else { return };
+        let Some(case) = self.cases.get_mut(&id).filter(|case| case.acts()) else { return };
         let mine = (case.epoch, number);
         let Some(grant) = case.grants.iter_mut().find(|g| (g.epoch, g.number) == mine) else { return };
         if never_ran && !grant.void {
@@ -587,6 +589,10 @@
         }
         let (customer, idempotent, told) = (case.facts.customer, case.facts.idempotent, case.is_told);
         let taken_over = case.stage == Stage::Watched;
+        // No grant that was used stands here: what became of it is elsewhere, if anywhere, and whoever comes back has that
+        // asked for anew instead of hearing the same for the rest of its time.
+        // Without a majority a single one sends all the same, under none.
+        let sent = self.terms.policy == Policy::Single || case.grants.iter().any(|grant| !grant.void);
         case.own = None;
         case.pending = None;
         let waited = !case.waiters.is_empty();
@@ -608,7 +614,7 @@
             }
             Word::Aborted | Word::Different => {
                 self.totals.in_doubt += u64::from(!idempotent);
-                self.turn(id, if idempotent { Stage::Closed } else { Stage::InDoubt });
+                self.turn(id, if idempotent || !sent { Stage::Closed } else { Stage::InDoubt });
                 End::Aborted
             }
         };
