A change of the list costs the module what it changes; the scale run plays the module in the target's proportions

The run told the module of 300 gateways at every size, where each would have had to hold 1,173 of 44,000 engines.

Change: rows that keep phase, zone and kind move nothing; seven holders an engine; the run's gateways follow its engines. The processes' half is played with it.

--- a/crates/ivypitch-lab/src/experiments/scale/mod.rs
+++ b/crates/ivypitch-lab/src/experiments/scale/mod.rs
@@ -1,6 +1,7 @@
-//! The size to plan with: what each part costs at more and more gateways and engines, in virtual time. What a statement
-//! and a change cost the module is to be flat, what peers cost to grow no faster than the fleet until groups of them
-//! carry it; a cost of time is judged as a ratio between sizes of this run alone.
+//! The size to plan with: what each part costs at more and more gateways and engines, in virtual time and, beside it, on
+//! real gateways among hollow ones (`processes`). What a statement and a change cost the module is to be flat, what peers
+//! cost to grow no faster than the fleet until groups of them carry it; a cost of time is judged as a ratio between sizes
+//! of this run alone.
 //!
 //! Whole fleets are played as far as the simulator can: members hold each other, so that a fleet is the square of its
 //! size; the largest, 2,000, is played for its cold start alone. Shares and custody are played whole up
@@ -75,6 +76,9 @@
     all.extend(peers::shares(quick, seed));
     all.extend(changes::measure(&mut report, quick, seed));
     judge(&mut report, &all);
+    let (measures, bounds) = processes::measure_checked(quick, seed);
+    all.extend(measures);
+    report.bounds.extend(bounds);
     tell(&mut report, &Recorded::new(quick, seed, &all), &all);
     report
 }
--- a/crates/ivypitch-lab/src/experiments/scale/module.rs
+++ b/crates/ivypitch-lab/src/experiments/scale/module.rs
@@ -8,9 +8,10 @@
 use crate::virtual_time::cost;
 
 const MS: Nanos = 1_000_000;
-/// Statements in hand at a time, and the gateways that the module is told of.
+/// Statements in hand at a time.
 const IN_HAND: usize = 32;
-const GATEWAYS: usize = 300;
+/// Engines a gateway at the target: the module is told of as many gateways as that makes.
+const ENGINES_A_GATEWAY: f64 = 44_000.0 / 3_800.0;
 /// Each cost is the middle one of so many batches.
 const BATCHES: usize = 5;
 
@@ -33,7 +34,7 @@
     fn log(&mut self, _line: &str) {}
 }
 
-fn facts() -> Deployment {
+fn facts(engines: usize) -> Deployment {
     let workload = |slo: u64, threads: f64, importance: f64| Workload {
         slo_time: slo * MS,
         slo_stretch: 2.0,
@@ -50,7 +51,7 @@
         waits_for_loads: false,
     };
     Deployment {
-        gateways: GATEWAYS,
+        gateways: (engines as f64 / ENGINES_A_GATEWAY).round() as usize,
         tick: MS,
         workloads: vec![workload(300, 1.0, 1.0), workload(3000, 2.0, 8.0)],
         kinds: vec![EngineKind { cores: 16.0, memory_mb: 65536.0 }],
@@ -99,7 +100,7 @@
 
 impl Played {
     pub fn new(engines: usize, seed: u64) -> Played {
-        let mut module = Gateway::new(facts(), seed, 0);
+        let mut module = Gateway::new(facts(engines), seed, 0);
         let mut out = Sent::default();
         module.engines_listed(0, ListKind::Full, &rows(engines), &mut out);
         let in_hand = std::collections::VecDeque::new();
@@ -187,7 +188,7 @@
     for size in SIZES {
         let (x, mut played) = (size as f64, Played::new(size, seed));
         // Warm up: as many sends as are counted as recent, as far as there is time for it.
-        let calls = (if quick { 400_000 } else { 4_000_000 } / size).clamp(20, 4000);
+        let calls = (if quick { 400_000 } else { 4_000_000 } / size).clamp(400, 4000);
         (0..(4 * calls).max(4 * IN_HAND)).for_each(|_| played.statement());
         costs[0].push((x, cost::middle_us(BATCHES, calls, || played.statement())));
         costs[1].push((x, cost::middle_us(BATCHES, calls, || played.change(size))));
--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -6,18 +6,18 @@
 use crate::interface::*;
 use crate::state::*;
 use crate::units::*;
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 /// How far the winner's EMA point moves towards the query point (the paper's best is near 0.1).
 const ALPHA: f64 = 0.1;
 /// N: how many of the own last sends count as load, for each engine that they go to.
 const RECENT_SENDS: usize = 9;
-/// The subset: engines that own statements make heard of so often while a report is fresh, no more than a
-/// statement's cost allows; so few leave a choice where some are bad, so many gateways even an engine's load out.
+/// The subset: engines that own statements make heard of so often while a report is fresh, no more than the
+/// cost of a statement allows; the fewest leave a choice where some are bad, the holders even out the load.
 const HEARD: f64 = 2.0;
 const MOST_KEPT: f64 = 80.0;
 const FEWEST_KEPT: f64 = 5.0;
-const HOLDERS: f64 = 8.0;
+const HOLDERS: f64 = 7.0;
 /// Where it has no room it widens so many times, past no more than so many times that may not be sent to.
 const WIDENS: usize = 2;
 const LOOKS: usize = 4;
@@ -276,21 +276,19 @@
 
     pub fn engines_listed(&mut self, now: Nanos, kind: ListKind, rows: &[EngineRow], out: &mut dyn Output) {
         if kind != ListKind::Delta {
-            let told: BTreeSet<usize> = rows.iter().map(|row| row.engine.0).collect();
-            (0..self.engines.len()).filter(|at| !told.contains(at)).for_each(|at| self.enlist(at, false));
+            let told = indices(rows, self.engines.len());
+            (0..told.len()).filter(|&at| !told[at]).for_each(|at| self.enlist(at, false));
         }
         for row in rows {
             let at = row.engine.0;
             self.engines.resize_with(self.engines.len().max(at + 1), Engine::default);
-            let was_listed = self.engines[at].listed;
-            self.enlist(at, false);
-            let engine = &mut self.engines[at];
-            let is_new = engine.row.id != row.id || engine.row.engine != row.engine;
-            if is_new {
-                *engine = Engine { row: *row, best: f64::MAX, ..Engine::default() };
-                engine.key = Key::new(row.id, self.facts.me, self.facts.gateways, row.engine);
+            if self.engines[at].row.id != row.id || self.engines[at].row.engine != row.engine {
+                self.enlist(at, false);
+                let key = Key::new(row.id, self.facts.me, self.facts.gateways, row.engine);
+                self.engines[at] = Engine { row: *row, key, best: f64::MAX, ..Engine::default() };
             }
-            if is_new || !was_listed {
+            let engine = &mut self.engines[at];
+            if !engine.listed {
                 engine.ema_point = point_of(row.id);
             }
             if row.started_at > engine.row.started_at {
@@ -298,8 +296,11 @@
                 engine.outcomes.clear();
                 engine.turn(false, "restarted", 0.0, out);
             }
-            engine.row = *row;
-            self.enlist(at, row.phase != EnginePhase::Gone);
+            let open = |row: &EngineRow| (row.phase, row.zone, row.kind);
+            let stays = engine.listed && open(&engine.row) == open(row);
+            (!stays).then(|| self.enlist(at, false));
+            self.engines[at].row = *row;
+            (!stays).then(|| self.enlist(at, row.phase != EnginePhase::Gone));
         }
         self.narrow(now);
         self.dispatch(now, out);
@@ -316,14 +317,13 @@
         }
     }
 
-    /// The subset of each workload's engines, by place: those that the own traffic keeps heard of. Guards against
-    /// traffic so thin that no report is fresh and all gateways have something out everywhere. Hurts where what
-    /// only few engines have warm lies in few subsets.
+    /// The subset of each workload's engines, by place: those that own traffic keeps heard of. Guards against
+    /// traffic so thin that no report is fresh and all gateways have something out everywhere. Hurts where
+    /// what only few engines have warm lies in few subsets.
     fn narrow(&mut self, now: Nanos) {
         let span = now.saturating_sub(self.started).clamp(SECOND, self.budget.window.max(SECOND));
-        let heard = self.taken.count_since(now - span.min(now)) as f64 / seconds(span)
-            * seconds(REPORT_FRESH)
-            / HEARD;
+        let arrivals = self.taken.count_since(now - span.min(now)) as f64;
+        let heard = arrivals / seconds(span) * seconds(REPORT_FRESH) / HEARD;
         let gateways = self.facts.gateways as f64;
         for row in &mut self.wlms {
             row.open_cores = row.open.cores(&self.facts.kinds).max(1.0);
@@ -781,8 +781,8 @@
         ask
     }
 
-    /// The design's pick within the subset: distance, at least the floor, times the own recent sends a core; the
-    /// next best where an engine has no room. Those that may not be sent to and suspects make place for the next.
+    /// The design's pick within the subset: distance, at least the floor, times the own recent sends a core;
+    /// the next best where one has no room. Suspects and those that may not be sent to make place for the next.
     fn pick(&self, now: Nanos, ix: StmtIx) -> Option<EngineIx> {
         let stmt = self.stmts[ix.0].as_ref()?;
         let row = &self.wlms[stmt.wlm];
@@ -865,8 +865,8 @@
         (within(engine.threads[usize::from(long)], kind_bound) && within(own, TOTAL_BOUND)).then_some(true)
     }
 
-    /// The last of the places are for what earns much for its time. Guards against few that run long keeping out
-    /// many. Hurts where estimates mislead.
+    /// The last of the places are for what earns much for its time. Guards against few that run long keeping
+    /// out many. Hurts where estimates mislead.
     fn has_place(&self, stmt: &Stmt) -> bool {
         let time = |work: f64, wlm: usize| work / self.facts.workloads[wlm].threads.max(1.0);
         let usual: f64 = (0..self.wlms.len()).map(|w| time(self.wlms[w].demand, w)).sum();
@@ -1023,7 +1023,7 @@
             return false;
         }
         // Rule 4: in each window a cold engine gets its budget of work, and no more calls than that over mean
-        // work; parts by the gateways' places there. One that began later doesn't know what its former self sent.
+        // work; parts by gateways' places. One that began later doesn't know what its former self sent.
         if engine.row.started_at > 0 && now < engine.row.started_at.saturating_add(self.facts.warm_up) {
             let age = seconds(now.saturating_sub(engine.row.started_at)) / seconds(self.facts.warm_up);
             let warm = self.facts.cold_from + COLD_GROWTH * (1.0 - self.facts.cold_from).max(0.0) * age;
--- a/crates/ivypitch/src/state.rs
+++ b/crates/ivypitch/src/state.rs
@@ -1,6 +1,6 @@
 //! What the module remembers, as tables with their bounds. Nothing here decides, and no figure is tuned here.
 
-use crate::interface::{EngineIx, EngineKind, Nanos, StmtIx};
+use crate::interface::{EngineIx, EngineKind, EngineRow, Nanos, StmtIx};
 use crate::units::{place_of, seconds, unit_hash};
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
@@ -140,3 +140,12 @@
         taken
     }
 }
+
+/// Which of so many indices the rows name.
+pub fn indices(rows: &[EngineRow], count: usize) -> Vec<bool> {
+    let mut named = vec![false; count];
+    for row in rows.iter().filter(|row| row.engine.0 < count) {
+        named[row.engine.0] = true;
+    }
+    named
+}
