--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -782,7 +782,7 @@
     }
 
     /// The design's pick within the subset: distance, at least the floor, times the own recent sends a core;
-    /// the next best where one has no room. Suspects and those that may not be sent to make place for the next.
+    /// the next best where one has no room. Suspects and what may not be sent to make place for the next.
     fn pick(&self, now: Nanos, ix: StmtIx) -> Option<EngineIx> {
         let stmt = self.stmts[ix.0].as_ref()?;
         let row = &self.wlms[stmt.wlm];
