A subset only of a quarter of the engines at most, and only where traffic keeps one heard of

Change: the whole list where the subset would be more than a quarter of it, or where a second has shown that own traffic does not keep even one engine heard of.

--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -18,6 +18,7 @@
 const MOST_KEPT: f64 = 80.0;
 const FEWEST_KEPT: f64 = 5.0;
 const HOLDERS: f64 = 7.0;
+const MOST_PART: f64 = 0.25;
 /// Where it has no room it widens so many times, past no more than so many times that may not be sent to.
 const WIDENS: usize = 2;
 const LOOKS: usize = 4;
@@ -288,9 +289,7 @@
                 self.engines[at] = Engine { row: *row, key, best: f64::MAX, ..Engine::default() };
             }
             let engine = &mut self.engines[at];
-            if !engine.listed {
-                engine.ema_point = point_of(row.id);
-            }
+            (!engine.listed).then(|| engine.ema_point = point_of(row.id));
             if row.started_at > engine.row.started_at {
                 // A restarted process has none of the old one's faults, nor its executions' answers to come.
                 engine.outcomes.clear();
@@ -318,18 +317,19 @@
     }
 
     /// The subset of each workload's engines, by place: those that own traffic keeps heard of. Guards against
-    /// traffic so thin that no report is fresh and all gateways have something out everywhere. Hurts where
-    /// what only few engines have warm lies in few subsets.
+    /// traffic so thin that no report is fresh. Hurts where what few engines have warm is in few subsets.
     fn narrow(&mut self, now: Nanos) {
         let span = now.saturating_sub(self.started).clamp(SECOND, self.budget.window.max(SECOND));
         let arrivals = self.taken.count_since(now - span.min(now)) as f64;
         let heard = arrivals / seconds(span) * seconds(REPORT_FRESH) / HEARD;
-        let gateways = self.facts.gateways as f64;
         for row in &mut self.wlms {
             row.open_cores = row.open.cores(&self.facts.kinds).max(1.0);
             let open = row.open.len() as f64;
-            let kept = heard.min(MOST_KEPT).max(HOLDERS * open / gateways).max(FEWEST_KEPT).ceil().min(open);
-            (row.kept, row.holders) = (kept as usize, gateways * kept / open.max(1.0));
+            let fewest = FEWEST_KEPT.max(HOLDERS * open / self.facts.gateways as f64);
+            let kept = heard.min(MOST_KEPT).max(fewest).ceil();
+            // Traffic that keeps not one heard of gains nothing; table groups have their homes in all.
+            let kept = if heard < 1.0 && span > SECOND || kept > MOST_PART * open { open } else { kept };
+            (row.kept, row.holders) = (kept as usize, self.facts.gateways as f64 * kept / open.max(1.0));
         }
         let narrowed = self.wlms.iter().filter(|row| row.kept < row.open.len()).map(|row| row.kept);
         self.spread = narrowed.max().unwrap_or(self.listed);
