--- a/crates/ivypitch/src/rules.rs
+++ b/crates/ivypitch/src/rules.rs
@@ -327,8 +327,8 @@
             let open = row.open.len() as f64;
             let fewest = FEWEST_KEPT.max(HOLDERS * open / self.facts.gateways as f64);
             let kept = heard.min(MOST_KEPT).max(fewest).ceil();
-            // Traffic that keeps not one heard of gains nothing; table groups have their homes in all.
-            let kept = if heard < 1.0 && span > SECOND || kept > MOST_PART * open { open } else { kept };
+            // More than a part gains little, and table groups have their homes in all.
+            let kept = if kept > MOST_PART * open { open } else { kept };
             (row.kept, row.holders) = (kept as usize, self.facts.gateways as f64 * kept / open.max(1.0));
         }
         let narrowed = self.wlms.iter().filter(|row| row.kept < row.open.len()).map(|row| row.kept);
