Let a KILL wait for what its session has not read yet

Callers saw KILL QUERY answered OK while their statement ran on to its timeout: 1105 after 20 s in place of 1317, on busy machines. Cause: a session posted the KILL as soon as it had read it; the statement could still lie unread on the other session's socket, and the scheduler's actor dropped a KILL for which it knew no statement. Change: a KILL for a session with unread bytes or unhandled messages is a flag of that session, posted behind the statement that it takes next and dropped once all that had come was taken; an unknown connection gets error 1094; kills are counted (kill totals).

--- a/crates/ivypitch-cli/tests/races.rs
+++ b/crates/ivypitch-cli/tests/races.rs
@@ -171,6 +171,21 @@
     }
 }
 
+#[test]
+fn a_kill_of_a_connection_that_is_not_there_is_an_error() {
+    let gateway = Gateway::start(&[Engine::busy().row("s-1", "in_service")]);
+    let mut killer = Client::connect(&gateway);
+    let other = Client::connect(&gateway).connection;
+    until("the end of the other session", || {
+        let answer = Client::connect(&gateway).ask(&format!("KILL QUERY {other}"));
+        answer.code() == 1094
+    });
+    assert_eq!(
+        killer.ask(&format!("KILL QUERY {}", killer.connection)),
+        Answer::Rows(vec![])
+    );
+}
+
 #[test_case(true; "behind it")]
 #[test_case(false; "before it")]
 fn a_kill_right_by_an_engines_accept_ends_the_query_there(behind: bool) {
--- a/crates/ivypitch-gateway/src/actors/scheduler/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/mod.rs
@@ -77,6 +77,14 @@
     scheduler: Rc<RefCell<Scheduler>>,
     context: Context,
     traffic: Rc<Traffic>,
+    kills: KillCounters,
+}
+
+/// `KILL QUERY`s for connections that are there.
+#[derive(Default)]
+struct KillCounters {
+    found: u64,
+    without_statement: u64,
 }
 
 impl SchedulerActor {
@@ -101,6 +109,7 @@
             scheduler,
             context,
             traffic,
+            kills: KillCounters::default(),
         }
     }
 
@@ -254,6 +263,11 @@
 
     /// The gateway shuts down: every open statement is answered by then.
     fn on_shutdown(&mut self, answer_by: Nanos) {
+        let kills = &self.kills;
+        log::info!(
+            found = kills.found, without_statement = kills.without_statement;
+            "kill totals"
+        );
         let context = &mut self.context;
         context.answer_by = answer_by;
         self.scheduler.borrow_mut().begin_shutdown(answer_by);
--- a/crates/ivypitch-gateway/src/actors/scheduler/statements.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/statements.rs
@@ -102,8 +102,10 @@
     /// A client asked to end the statement of this connection.
     pub(super) fn on_kill_query(&mut self, connection: u32) {
         let Some(statement) = self.context.statements.find_by_connection(connection) else {
+            self.kills.without_statement += 1;
             return;
         };
+        self.kills.found += 1;
         self.context.answer(statement, Answer::Killed);
         self.expire_statement(statement);
     }
--- a/crates/ivypitch-gateway/src/actors/session/admission.rs
+++ b/crates/ivypitch-gateway/src/actors/session/admission.rs
@@ -43,6 +43,10 @@
     pub open_statements: usize,
 }
 
+/// No session has the connection id of a `KILL QUERY`.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) struct UnknownConnection;
+
 /// What the table holds of a session.
 struct SessionHandle {
     task: Task<()>,
@@ -183,6 +187,20 @@
         let _ = self.scheduler.try_send(message);
     }
 
+    /// Ends the statement of a connection. One that its client has sent and that is not read yet ends as it is read: in
+    /// which order two sessions get to read does not decide.
+    pub(super) fn kill_query(&self, connection: u32) -> Result<(), UnknownConnection> {
+        let table = self.table.borrow();
+        let (state, handle) = table.get(connection).ok_or(UnknownConnection)?;
+        let has_read_all = state.is_waiting_for_input.get() && handle.presence.is_waiting();
+        if state.is_busy.get() || state.is_over.get() || has_read_all {
+            self.notify_scheduler(SchedulerMessage::KillQuery { connection });
+        } else {
+            state.is_kill_pending.set(true);
+        }
+        Ok(())
+    }
+
     /// Counts a statement as open until its answer is written; `None`: as many are open as clients may have. Asked for
     /// each statement: a session that came while others were still closing is as good as any.
     pub(super) fn open_statement(&self) -> Option<OpenStatement<'_>> {
--- a/crates/ivypitch-gateway/src/actors/session/commands.rs
+++ b/crates/ivypitch-gateway/src/actors/session/commands.rs
@@ -8,6 +8,7 @@
 use ivypitch_config::Names;
 use ivypitch_types::Nanos;
 
+use super::admission::UnknownConnection;
 use super::login::{DATABASE, UNKNOWN_DATABASE};
 use super::{Session, SessionEnd};
 use crate::actors::messages::{Answer, ClientHandle, ClientStatement, SchedulerMessage};
@@ -20,6 +21,8 @@
 /// The code of a statement that did not run.
 pub(super) const REJECTED: u16 = 1203;
 const PARSE_ERROR: u16 = 1064;
+/// The code of a `KILL QUERY` for a connection that is not there.
+const UNKNOWN_THREAD: u16 = 1094;
 
 pub(super) const TOO_MANY_CONNECTIONS: ErrorPacket =
     ErrorPacket::new(1040, "08004", "Too many connections");
@@ -82,9 +85,10 @@
 
     async fn on_query(&mut self, text: Bytes, received_at: Nanos) -> Result<(), SessionEnd> {
         if let Some(connection) = gateway_statements::kill_query(&text) {
-            self.sessions
-                .notify_scheduler(SchedulerMessage::KillQuery { connection });
-            self.writer().ok();
+            match self.sessions.kill_query(connection) {
+                Ok(()) => self.writer().ok(),
+                Err(UnknownConnection) => self.writer().error(&unknown_connection(connection)),
+            }
             return Ok(());
         }
         // What is read once the gateway shuts down never reaches an engine.
@@ -131,6 +135,9 @@
                 presence: Some(self.presence.clone()),
             },
         });
+        if self.state.is_kill_pending.take() {
+            sessions.notify_scheduler(SchedulerMessage::KillQuery { connection });
+        }
         let answer = match self.wait_for_answer(answer).await {
             Ok(answer) => answer,
             Err(end) => {
@@ -181,6 +188,14 @@
     }
 }
 
+fn unknown_connection(connection: u32) -> ErrorPacket {
+    ErrorPacket {
+        code: UNKNOWN_THREAD,
+        sql_state: "HY000",
+        message: format!("Unknown thread id: {connection}").into(),
+    }
+}
+
 /// Parses a statement's fields and looks its workload and tenant up; without a tenant it is the first one's.
 fn client_statement(text: &Bytes, names: &Names) -> Result<ClientStatement, StatementError> {
     let fields = fields::parse(text)?;
--- a/crates/ivypitch-gateway/src/actors/session/receiving.rs
+++ b/crates/ivypitch-gateway/src/actors/session/receiving.rs
@@ -73,6 +73,17 @@
     }
 
     async fn wait_for_bytes(&mut self, receiving: &Receiving) -> Result<WaitOutcome, SessionEnd> {
+        if let Some(bytes) = read_now(&self.stream, &mut self.input)? {
+            return Ok(WaitOutcome::Read(bytes));
+        }
+        self.state.on_input_taken();
+        let outcome = self.wait_for_more(receiving).await;
+        self.state.is_waiting_for_input.set(false);
+        outcome
+    }
+
+    /// Nothing is there: waits until something is.
+    async fn wait_for_more(&mut self, receiving: &Receiving) -> Result<WaitOutcome, SessionEnd> {
         let deadline = self.deadline(receiving);
         let timed_out = async {
             Timer::at(deadline).await;
@@ -86,6 +97,7 @@
             Ok(WaitOutcome::EndRequested)
         };
         let read = async {
+            self.stream.readable().await?;
             let bytes = read_some(&self.stream, &mut self.input).await?;
             Ok(WaitOutcome::Read(bytes))
         };
--- a/crates/ivypitch-gateway/src/state/sessions.rs
+++ b/crates/ivypitch-gateway/src/state/sessions.rs
@@ -39,6 +39,10 @@
     pub has_partial_message: Cell<bool>,
     /// It takes nothing more: nobody loses by its being closed.
     pub is_over: Cell<bool>,
+    /// It has handled all that it read, and waits for more.
+    pub is_waiting_for_input: Cell<bool>,
+    /// A `KILL QUERY` came before all that its client had sent was read: it ends the statement among that, if there is one.
+    pub is_kill_pending: Cell<bool>,
     /// Closed to request the session's end.
     end: (Sender<()>, Receiver<()>),
 }
@@ -52,6 +56,8 @@
             is_busy: Cell::new(false),
             has_partial_message: Cell::new(false),
             is_over: Cell::new(false),
+            is_waiting_for_input: Cell::new(false),
+            is_kill_pending: Cell::new(false),
             end: async_channel::bounded(1),
         })
     }
@@ -62,6 +68,13 @@
         self.since.set(now);
     }
 
+    /// Nothing that its client sent is unread: it waits for more from now on, and a kill that came before has found no
+    /// statement.
+    pub fn on_input_taken(&self) {
+        self.is_waiting_for_input.set(true);
+        self.is_kill_pending.set(false);
+    }
+
     /// It is to end once nothing of its client's is open or unread.
     pub fn request_end(&self) {
         self.end.0.close();
@@ -192,6 +205,19 @@
         self.sessions.insert(connection, Entry { state, session });
     }
 
+    /// The session of this connection, whether it is in the table or closes outside.
+    pub fn get(&self, connection: u32) -> Option<(&SessionState, &T)> {
+        let closing = || {
+            let (_, entry) = self
+                .closing
+                .iter()
+                .find(|(number, _)| *number == connection)?;
+            Some(entry)
+        };
+        let entry = self.sessions.get(&connection).or_else(closing)?;
+        Some((&entry.state, &entry.session))
+    }
+
     /// Removes a session, whether it is in the table or closes outside.
     pub fn remove(&mut self, connection: u32) -> Option<T> {
         if let Some(entry) = self.sessions.remove(&connection) {
