Seal every rejection of a non-idempotent statement before it is told

Callers heard 1203, did not run, holdoff=2000, of a load that ran, where gateways were lost together on a busy machine. Cause: on_answered sealed a rejection only for the client that had submitted the statement; where a gateway had gone on with another's statement for clients that wait, these heard it at once, and one let act before was taken as sealed for good. Change: a rejection goes through a takeover in each case; without a quorum it is told as may have run.

--- a/crates/ivypitch-ownership/src/completion.rs
+++ b/crates/ivypitch-ownership/src/completion.rs
@@ -21,9 +21,9 @@
 impl Ownership {
     /// The scheduler has answered the statement. Clients that wait beside the one that submitted it get the same.
     ///
-    /// Returns the submitting client's token where it is not to be answered yet: that nothing ran is said of a
-    /// non-idempotent statement only once a quorum has sealed it, because the client may have come from another gateway
-    /// that dispatched it. [`Output::answer`] then follows.
+    /// That nothing ran is said of a non-idempotent statement only once a quorum has sealed it, to whoever waits and to
+    /// the voters: its client may have come from another gateway that dispatched it. Until then nobody is answered;
+    /// returns the token of the client that submitted it, if there is one, and [`Output::answer`] follows.
     pub fn on_answered(
         &mut self,
         now: Nanos,
@@ -35,13 +35,17 @@
         if !statement.is_owner() {
             return None;
         }
-        if let FinalAnswer::Rejected { retry_after_ms } = answer
-            && let Some(submitter) = self.defer_rejection(now, id, retry_after_ms, out)
-        {
-            return Some(submitter);
+        let is_idempotent = statement.spec.idempotent;
+        let has_other_voters = self.voters.count() > 1;
+        match answer {
+            FinalAnswer::Rejected { retry_after_ms } if !is_idempotent && has_other_voters => {
+                self.defer_rejection(now, id, retry_after_ms, out)
+            }
+            _ => {
+                self.end_statement(now, id, answer, out);
+                None
+            }
         }
-        self.end_statement(now, id, answer, out);
-        None
     }
 
     /// The engine of [`Output::take_over`] is not known here, so it can't be asked. An idempotent statement runs anew;
@@ -85,7 +89,7 @@
         }
     }
 
-    /// Seals the statement before its rejection is answered. Returns the client that waits for that, if it has to.
+    /// Seals the statement before its rejection is answered. Returns the client that submitted it.
     fn defer_rejection(
         &mut self,
         now: Nanos,
@@ -93,18 +97,14 @@
         retry_after_ms: u32,
         out: &mut dyn Output,
     ) -> Option<u64> {
-        let is_only_voter = self.voters.count() == 1;
         let statement = self.statements.get_mut(id)?;
-        if statement.spec.idempotent || statement.takeover.is_sealed || is_only_voter {
-            return None;
-        }
-        let submitter = statement.submitter?;
+        let submitter = statement.submitter;
         statement.submitter_waits();
         statement.takeover.rejection = Some(PendingRejection { retry_after_ms });
         let epoch_count = statement.epoch.count + 1;
         self.statements.transition(id, StatementState::Orphaned);
         self.request_takeover(now, id, epoch_count, out);
-        Some(submitter)
+        submitter
     }
 
     fn end_statement(
--- a/crates/ivypitch-ownership/src/statement.rs
+++ b/crates/ivypitch-ownership/src/statement.rs
@@ -108,8 +108,6 @@
 pub(crate) struct TakeoverProgress {
     /// Voters that let no lower epoch act, with what they know.
     pub(crate) promises: BTreeMap<MemberId, Option<StatementRecord>>,
-    /// A quorum once let this gateway act: no lower epoch gets a grant any more.
-    pub(crate) is_sealed: bool,
     /// The statement was rejected here; the client is told once it is sealed that nobody else has dispatched it.
     pub(crate) rejection: Option<PendingRejection>,
 }
--- a/crates/ivypitch-ownership/src/takeover_outcome.rs
+++ b/crates/ivypitch-ownership/src/takeover_outcome.rs
@@ -150,7 +150,6 @@
             statement.deadline = statement.deadline.max(deadline);
         }
     }
-    statement.takeover.is_sealed = true;
     TakenOver {
         end,
         dispatched: statement
--- /dev/null
+++ b/crates/ivypitch-ownership/tests/single_gateway/main.rs
@@ -0,0 +1,4 @@
+//! One gateway among others that are played by the test: what it answers, and what it waits for.
+
+mod recorder;
+mod rejections;
--- /dev/null
+++ b/crates/ivypitch-ownership/tests/single_gateway/rejections.rs
@@ -0,0 +1,79 @@
+//! Where a gateway rejects a statement that it went on with for a client that waits: who is told that nothing ran, and when.
+
+use ivypitch_ownership::*;
+use ivypitch_types::{MILLISECOND, MemberId, Nanos, SECOND};
+
+use crate::recorder::*;
+
+/// Member 1, to which a client came for a load that member 0 had dispatched. One voter knew that; then member 0 was lost
+/// and no voter that is left answers, so that this gateway goes on with the statement itself.
+fn gateway_that_goes_on_for_a_client_of_a_lost_one(out: &mut Recorder) -> (Ownership, Nanos) {
+    let mut ownership = gateway();
+    let arrived = ownership.on_arrival(START, arrival(true), out);
+    assert_eq!(arrived, ArrivalDecision::Wait);
+    let lookup = out
+        .sent
+        .iter()
+        .rev()
+        .find_map(|(to, message)| match message {
+            Message::LookupRequest { request_id, .. } => Some((*to, *request_id)),
+            _ => None,
+        });
+    let (voter, request_id) = lookup.expect("a voter is asked");
+    let answer = LookupAnswer::HeldBy(MemberId(0));
+    let reply = Message::LookupReply {
+        request_id,
+        id: ID,
+        answer,
+    };
+    ownership.on_message(START + MILLISECOND, voter, reply, out);
+    let lost = START + 100 * MILLISECOND;
+    ownership.on_member_down(lost, process(0), out);
+    let exhausted = lost + SECOND;
+    run_timers(&mut ownership, exhausted, out);
+    assert_eq!(out.taken_over, 1, "it goes on with the statement");
+    (ownership, exhausted)
+}
+
+/// Guards against "the statement did not run" of a load that runs at an engine.
+#[test]
+fn a_rejection_without_a_quorum_is_told_as_may_have_run() {
+    let mut out = Recorder::default();
+    let (mut ownership, now) = gateway_that_goes_on_for_a_client_of_a_lost_one(&mut out);
+    let rejected = FinalAnswer::Rejected {
+        retry_after_ms: 2000,
+    };
+    assert_eq!(ownership.on_answered(now, ID, rejected, &mut out), None);
+    run_timers(&mut ownership, now + 5 * SECOND, &mut out);
+    assert!(!out.has_rejected(), "{:?}", out.answers);
+    assert_eq!(out.answers, [FinalAnswer::Aborted]);
+}
+
+#[test]
+fn a_rejection_is_told_once_a_quorum_has_sealed_it() {
+    let mut out = Recorder::default();
+    let (mut ownership, now) = gateway_that_goes_on_for_a_client_of_a_lost_one(&mut out);
+    let rejected = FinalAnswer::Rejected {
+        retry_after_ms: 2000,
+    };
+    ownership.on_answered(now, ID, rejected.clone(), &mut out);
+    let takeover = out
+        .sent
+        .iter()
+        .rev()
+        .find_map(|(_, message)| match message {
+            Message::TakeoverRequest { epoch, .. } => Some(*epoch),
+            _ => None,
+        });
+    let epoch = takeover.expect("voters are asked to seal it");
+    for voter in [2, 3] {
+        let reply = Message::TakeoverReply {
+            id: ID,
+            epoch,
+            promised: true,
+            record: None,
+        };
+        ownership.on_message(now + MILLISECOND, MemberId(voter), reply, &mut out);
+    }
+    assert_eq!(out.answers, [rejected]);
+}
