Wait for votes of members that are slow and not suspected

Callers got 1105 after 0.1 s of a load that was never sent, on busy machines. Cause: an attempt without a quorum of votes within 0.1 s was denied, slow voters alike with lost ones. Change: voters that are connected and not suspected are waited for until the grant's validity of 0.4 s ends, looked at again every 0.1 s. Safety is as before: validity is unchanged.

--- a/crates/ivypitch-ownership/src/attempt_grant.rs
+++ b/crates/ivypitch-ownership/src/attempt_grant.rs
@@ -270,10 +270,24 @@
         }
         let unanswered = self.voters.count() - granted - pending.refused_by.len();
         let is_hopeless = granted + unanswered < quorum;
-        let is_timed_out = now >= pending.requested_at + self.config.grant_timeout;
+        let requested_at = pending.requested_at;
+        let is_timed_out = now >= requested_at + self.config.grant_timeout;
         if !is_hopeless && !is_expired && !is_timed_out {
             return GrantDecision::Pending;
         }
+        if !is_expired && self.can_expect_quorum(id) {
+            // Voters that are there and slow: looked at again, in case they are suspected meanwhile.
+            let expires_at = requested_at + self.config.grant_validity + 1;
+            self.statements
+                .set_timer(id, expires_at.min(now + self.config.grant_timeout));
+            return GrantDecision::Pending;
+        }
+        let Some(statement) = self.statements.get_mut(id) else {
+            return GrantDecision::Granted;
+        };
+        let Some(pending) = &statement.pending_grant else {
+            return GrantDecision::Pending;
+        };
         let failed = FailedVote {
             conflicts: pending.refused_by.values().flatten().cloned().collect(),
             has_all_answers: unanswered == 0,
@@ -287,6 +301,24 @@
         self.on_vote_failed(now, id, failed, out)
     }
 
+    /// The votes that were given, with those of members that have not answered and are not suspected, make a quorum.
+    fn can_expect_quorum(&self, id: StatementId) -> bool {
+        let pending = self
+            .statements
+            .get(id)
+            .and_then(|statement| statement.pending_grant.as_ref());
+        let Some(pending) = pending else {
+            return false;
+        };
+        let voters = self.voters.voters_of(id);
+        let awaited = voters.iter().filter(|&&voter| {
+            let has_answered =
+                pending.granted_by.contains(&voter) || pending.refused_by.contains_key(&voter);
+            !has_answered && self.members.is_healthy(voter)
+        });
+        pending.granted_by.len() + awaited.count() >= self.voters.quorum()
+    }
+
     /// No quorum: another gateway acts for the statement, it is over, or too few voters could be reached.
     fn on_vote_failed(
         &mut self,
--- a/crates/ivypitch-ownership/src/config.rs
+++ b/crates/ivypitch-ownership/src/config.rs
@@ -19,7 +19,8 @@
     pub voters_per_statement: usize,
     /// How many of them are notified of idempotent statements, which need no grant.
     pub voters_of_idempotent_statements: usize,
-    /// An attempt finds its quorum within this time, or it is denied.
+    /// An attempt that finds no quorum within this time is denied, unless voters that are connected and not suspected have
+    /// still to answer: those are waited for until [`Self::grant_validity`] ends.
     pub grant_timeout: Nanos,
     /// A grant is used within this time after its votes were requested, or not at all.
     pub grant_validity: Nanos,
--- a/crates/ivypitch-ownership/src/members.rs
+++ b/crates/ivypitch-ownership/src/members.rs
@@ -47,6 +47,11 @@
                 .is_some_and(Option::is_some)
     }
 
+    /// It is connected and not suspected.
+    pub(crate) fn is_healthy(&self, member: MemberId) -> bool {
+        self.is_connected(member) && !self.suspected.contains(&member)
+    }
+
     pub(crate) fn on_up(&mut self, process: ProcessId) {
         if let Some(connected) = self.connected.get_mut(process.member.as_usize()) {
             *connected = Some(process.incarnation);
