Keep a client's token when its looked-up statement starts

Callers whose load was handed over at a planned stop got a closed connection without an answer. Evidence: by reading; the new test got Closed in place of the rows before. Change: the token goes along from the lookup to the open statement. Result: the test passes.

--- a/crates/ivypitch-cli/tests/takeover.rs
+++ b/crates/ivypitch-cli/tests/takeover.rs
@@ -648,6 +648,21 @@
     assert_eq!(s.held.starts(req), 1, "it ran once");
 }
 
+/// Guards against "may have run" at the end of its time for a client whose statement was looked up before it started.
+#[test]
+fn a_client_that_waits_at_a_gateway_that_hands_over_hears_the_rows() {
+    let mut s = scene(3).voting();
+    let mut client = s.running(0, 1);
+    s.fleet.signal(0, Signal::TERM);
+    s.fleet.seats[0]
+        .log
+        .wait("handoff", |l| l.contains("handed off statements=1"));
+    s.held.end(1);
+    assert_eq!(client.answer(1), rows(1));
+    assert_eq!(s.fleet.end(0), Some(0));
+    assert_eq!(s.held.starts(1), 1);
+}
+
 #[test]
 fn a_gateway_without_peers_sends_no_load_that_another_might_have_sent() {
     let mut s = scene(3).voting();
--- a/crates/ivypitch-gateway/src/actors/ownership.rs
+++ b/crates/ivypitch-gateway/src/actors/ownership.rs
@@ -273,13 +273,14 @@
         self.waiting_clients.remove(&token)
     }
 
-    /// Takes the first client whose statement may still proceed here.
-    pub fn take_client_to_proceed(&mut self, id: StatementId) -> Option<WaitingClient> {
+    /// Takes the first client whose statement may still proceed here, with its token.
+    pub fn take_client_to_proceed(&mut self, id: StatementId) -> Option<(u64, WaitingClient)> {
         let (&token, _) = self
             .waiting_clients
             .iter()
             .find(|(_, waiting)| waiting.id == id && waiting.pending_statement.is_some())?;
-        self.waiting_clients.remove(&token)
+        let waiting = self.waiting_clients.remove(&token)?;
+        Some((token, waiting))
     }
 
     /// The client of this connection has disconnected. Returns it if it waited here.
--- a/crates/ivypitch-gateway/src/actors/scheduler/ownership.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/ownership.rs
@@ -110,7 +110,7 @@
         let Some(ownership) = &mut self.context.ownership else {
             return;
         };
-        let Some(waiting) = ownership.take_client_to_proceed(id) else {
+        let Some((token, waiting)) = ownership.take_client_to_proceed(id) else {
             return;
         };
         if let Some(statement) = waiting.pending_statement {
@@ -120,6 +120,7 @@
                 deadline: waiting.deadline,
                 client: waiting.client,
             });
+            self.context.set_client_token(id, token);
         }
     }
 
