Look up what comes to a gateway that shuts down before rejecting it

Callers who came back with a req that had run heard 1203, did not run, from a gateway that was ending. Cause: sessions answered so themselves from the end of the drain period on, with no look at other gateways. Change: with ownership the statement is looked up and never started; what no gateway knows is rejected once a quorum has sealed that, what cannot be asked is 1105. Without peers nothing changes.

--- a/crates/ivypitch-cli/tests/takeover.rs
+++ b/crates/ivypitch-cli/tests/takeover.rs
@@ -648,6 +648,48 @@
     assert_eq!(s.held.starts(req), 1, "it ran once");
 }
 
+/// The way of a gateway that shuts down, with a load that keeps it from ending at once.
+fn shut_down_until_it_rejects(s: &Scene, g: usize, kept_by: u64) -> Client {
+    let busy = s.running(g, kept_by);
+    s.fleet.signal(g, Signal::TERM);
+    s.fleet.seats[g].log.wait("end of the drain period", |l| {
+        is_event(l, "lifecycle phase changed", &[("to", "finishing")])
+    });
+    busy
+}
+
+/// Guards against "the statement did not run" of a load that ran, from a gateway that shuts down.
+#[test]
+fn a_client_that_returns_to_a_gateway_that_shuts_down_hears_the_rows() {
+    let s = scene(3).voting();
+    let mut first = s.running(0, 1);
+    s.held.end(1);
+    assert_eq!(first.answer(1), rows(1));
+    let _busy = shut_down_until_it_rejects(&s, 1, 2);
+    let ending = s.fleet.seats[1].address;
+    let answer = Client::ask_at_once(ending, &statement("load", 1, LONGEST));
+    assert_eq!(answer, rows(1));
+    // One that nobody has sent is rejected, and never sent.
+    let answer = Client::ask_at_once(ending, &statement("load", 3, LONGEST));
+    assert_eq!(answer.code(), 1203, "{answer:?}");
+    assert_eq!((s.held.starts(1), s.held.starts(3)), (1, 0));
+}
+
+/// Guards against the same where no other gateway can be asked.
+#[test]
+fn a_gateway_that_shuts_down_and_hears_nobody_says_that_a_load_may_have_run() {
+    let s = scene(3).voting();
+    let mut first = s.running(0, 1);
+    s.held.end(1);
+    assert_eq!(first.answer(1), rows(1));
+    let _busy = shut_down_until_it_rejects(&s, 1, 2);
+    s.fleet.cut(|a, b| a == 1 || b == 1, true);
+    let ending = s.fleet.seats[1].address;
+    let answer = Client::ask_at_once(ending, &statement("load", 1, LONGEST));
+    assert_eq!(answer.code(), 1105, "{answer:?}");
+    assert_eq!(s.held.starts(1), 1);
+}
+
 /// Guards against "may have run" at the end of its time for a client whose statement was looked up before it started.
 #[test]
 fn a_client_that_waits_at_a_gateway_that_hands_over_hears_the_rows() {
--- a/crates/ivypitch-gateway/src/actors/messages.rs
+++ b/crates/ivypitch-gateway/src/actors/messages.rs
@@ -75,6 +75,15 @@
     pub tenant: usize,
 }
 
+/// What may become of a statement that no gateway knows yet.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum StartPermission {
+    /// It may start here.
+    Granted,
+    /// The gateway shuts down: it is rejected.
+    ShuttingDown,
+}
+
 /// A message to the scheduler's actor.
 pub enum SchedulerMessage {
     /// A client sent a statement.
@@ -85,6 +94,8 @@
         statement: ClientStatement,
         /// When it was read; its timeout starts here.
         arrived_at: Nanos,
+        /// Whether it may start here.
+        start: StartPermission,
         /// Where the answer goes.
         client: ClientHandle,
     },
--- a/crates/ivypitch-gateway/src/actors/ownership.rs
+++ b/crates/ivypitch-gateway/src/actors/ownership.rs
@@ -14,7 +14,7 @@
 use serde_bytes::ByteBuf;
 
 use super::attempt::Attempt;
-use super::messages::{Answer, ClientHandle, ClientStatement};
+use super::messages::{Answer, ClientHandle, ClientStatement, StartPermission};
 use super::peer_links::{PeerEvent, PeerLinksMessage};
 use crate::state::rows::Rows;
 
@@ -133,7 +133,15 @@
     /// Where its answer goes.
     pub client: ClientHandle,
     /// The statement, while it may still proceed here.
-    pub pending_statement: Option<ClientStatement>,
+    pub pending_statement: Option<PendingStatement>,
+}
+
+/// A statement that other gateways are asked about.
+pub struct PendingStatement {
+    /// What the client sent.
+    pub statement: ClientStatement,
+    /// Whether it may start here if no gateway knows it.
+    pub start: StartPermission,
 }
 
 /// Connects ownership of statements to this gateway's actors.
@@ -194,21 +202,14 @@
         self.last_token
     }
 
-    /// A client sent a statement of this much estimated work; `token` stands for the client.
-    pub fn on_statement_arrived(
-        &mut self,
-        now: Nanos,
-        id: StatementId,
-        spec: StatementSpec,
-        estimated_work: Nanos,
-        token: u64,
-    ) -> ArrivalDecision {
-        let arrival = Arrival {
-            id,
-            spec,
-            worth_lookup: estimated_work >= self.min_lookup_work,
-            waiter: token,
-        };
+    /// Whether a statement of this much estimated work is worth asking the others first. One that is to be rejected is:
+    /// its client is told that it did not run.
+    pub fn is_worth_lookup(&self, estimated_work: Nanos, start: StartPermission) -> bool {
+        start == StartPermission::ShuttingDown || estimated_work >= self.min_lookup_work
+    }
+
+    /// A client sent a statement.
+    pub fn on_statement_arrived(&mut self, now: Nanos, arrival: Arrival) -> ArrivalDecision {
         self.ownership.on_arrival(now, arrival, &mut self.output)
     }
 
--- a/crates/ivypitch-gateway/src/actors/scheduler/context.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/context.rs
@@ -40,6 +40,8 @@
     pub(super) answer_grace: Nanos,
     /// While the gateway shuts down, everything has to be answered by then.
     pub(super) answer_by: Nanos,
+    /// Other gateways go on with what could not end here.
+    pub(super) has_handed_off: bool,
     pub(super) ownership: Option<OwnershipDriver>,
     pub(super) coordination: Option<CoordinationDriver>,
     /// Statements that the scheduler has forgotten and the teams' queues have not been told of; `None` without queues.
@@ -96,6 +98,7 @@
             quotas: fleet_quotas(deployment),
             answer_grace: deployment.answer_grace,
             answer_by: Nanos::MAX,
+            has_handed_off: false,
             names: parts.deployment.names,
             ownership: parts.ownership,
             coordination: parts.coordination,
--- a/crates/ivypitch-gateway/src/actors/scheduler/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/mod.rs
@@ -225,15 +225,17 @@
                 connection,
                 statement,
                 arrived_at,
+                start,
                 client,
             } => {
                 let timeout = statement.fields.timeout_ms * MILLISECOND;
-                self.on_statement_arrived(NewStatement {
+                let new = NewStatement {
                     connection,
                     statement,
                     deadline: (arrived_at + timeout).min(self.context.answer_by),
                     client,
-                });
+                };
+                self.on_statement_arrived(new, start);
             }
             SchedulerMessage::ClientDisconnected { connection } => {
                 self.on_client_disconnected(connection);
--- a/crates/ivypitch-gateway/src/actors/scheduler/ownership.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/ownership.rs
@@ -10,9 +10,11 @@
 use super::context::Context;
 use super::statements::{arrival, estimated_work};
 use crate::actors::messages::{
-    Answer, AttemptEnd, AttemptKey, AttemptMessage, ClientHandle, ClientStatement,
+    Answer, AttemptEnd, AttemptKey, AttemptMessage, ClientHandle, ClientStatement, StartPermission,
+};
+use crate::actors::ownership::{
+    Action, OwnershipDriver, PendingStatement, Takeover, WaitingClient, client_answer,
 };
-use crate::actors::ownership::{Action, OwnershipDriver, Takeover, WaitingClient, client_answer};
 use crate::state::statements::{NewStatement, OpenStatement};
 use crate::wire::fields;
 
@@ -105,7 +107,7 @@
         self.on_attempt_ended(key, AttemptEnd::without_answer(Outcome::NeverDispatched));
     }
 
-    /// No other gateway knows the statement of a client that waits here: it is opened.
+    /// No other gateway knows the statement of a client that waits here.
     fn proceed(&mut self, id: StatementId) {
         let Some(ownership) = &mut self.context.ownership else {
             return;
@@ -113,15 +115,42 @@
         let Some((token, waiting)) = ownership.take_client_to_proceed(id) else {
             return;
         };
-        if let Some(statement) = waiting.pending_statement {
-            self.open_statement(NewStatement {
-                connection: waiting.connection,
-                statement,
-                deadline: waiting.deadline,
-                client: waiting.client,
-            });
+        let Some(pending) = waiting.pending_statement else {
+            return;
+        };
+        let new = NewStatement {
+            connection: waiting.connection,
+            statement: pending.statement,
+            deadline: waiting.deadline,
+            client: waiting.client,
+        };
+        self.start_or_reject(new, pending.start, token);
+    }
+
+    /// Opens a statement that no gateway knows, or rejects it where this one shuts down.
+    fn start_or_reject(&mut self, new: NewStatement, start: StartPermission, token: u64) {
+        let id = new.statement.fields.statement_id_number();
+        if start == StartPermission::Granted {
+            self.open_statement(new);
             self.context.set_client_token(id, token);
+            return;
         }
+        let Some(ownership) = &mut self.context.ownership else {
+            return;
+        };
+        let rejected = Answer::Rejected { retry_after: 0 };
+        let Some(token) = ownership.on_answered(self.context.now, id, &rejected) else {
+            new.client.send(rejected);
+            return;
+        };
+        let waiting = WaitingClient {
+            id,
+            connection: new.connection,
+            deadline: new.deadline,
+            client: new.client,
+            pending_statement: None,
+        };
+        ownership.add_waiting_client(token, waiting);
     }
 
     /// Goes on with another gateway's statement.
@@ -180,24 +209,30 @@
     }
 
     /// Asks ownership whether another gateway knows a client's statement before it is opened.
-    pub(super) fn look_up_statement(&mut self, new: NewStatement) {
+    pub(super) fn look_up_statement(&mut self, new: NewStatement, start: StartPermission) {
         let context = &mut self.context;
         let Some(ownership) = &mut context.ownership else {
             return;
         };
+        if start == StartPermission::ShuttingDown && context.has_handed_off {
+            // This process ends before the others would have answered.
+            new.client.send(Answer::Aborted);
+            return;
+        }
         let id = new.statement.fields.statement_id_number();
         let is_idempotent = context
             .workloads
             .get(new.statement.workload)
             .is_some_and(|workload| workload.is_idempotent);
-        let spec = statement_spec(&new, context.now, is_idempotent);
-        let work = estimated_work(&new.statement);
         let token = ownership.new_token();
-        match ownership.on_statement_arrived(context.now, id, spec, work, token) {
-            ArrivalDecision::Proceed => {
-                self.open_statement(new);
-                self.context.set_client_token(id, token);
-            }
+        let arrival = ivypitch_ownership::Arrival {
+            id,
+            spec: statement_spec(&new, context.now, is_idempotent),
+            worth_lookup: ownership.is_worth_lookup(estimated_work(&new.statement), start),
+            waiter: token,
+        };
+        match ownership.on_statement_arrived(context.now, arrival) {
+            ArrivalDecision::Proceed => self.start_or_reject(new, start, token),
             ArrivalDecision::Answer(answer) => new.client.send(client_answer(answer)),
             ArrivalDecision::Wait => ownership.add_waiting_client(
                 token,
@@ -206,7 +241,10 @@
                     connection: new.connection,
                     deadline: new.deadline,
                     client: new.client,
-                    pending_statement: Some(new.statement),
+                    pending_statement: Some(PendingStatement {
+                        statement: new.statement,
+                        start,
+                    }),
                 },
             ),
         }
@@ -217,6 +255,7 @@
         let Some(ownership) = &mut self.context.ownership else {
             return;
         };
+        self.context.has_handed_off = true;
         ownership.log_totals();
         for id in ownership.hand_off(self.context.now) {
             if let Some(statement) = self.context.statements.find_by_id(id) {
--- a/crates/ivypitch-gateway/src/actors/scheduler/statements.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/statements.rs
@@ -10,14 +10,14 @@
 use super::output::attempt_timeout;
 use super::timers::TimerEvent;
 use crate::actors::messages::{
-    Answer, AttemptEnd, AttemptKey, AttemptMessage, ClientStatement, QueueRow,
+    Answer, AttemptEnd, AttemptKey, AttemptMessage, ClientStatement, QueueRow, StartPermission,
 };
 use crate::actors::ownership::WaitingClient;
 use crate::state::statements::{NewStatement, OpenStatement};
 
 impl SchedulerActor {
     /// A client sent a statement.
-    pub(super) fn on_statement_arrived(&mut self, new: NewStatement) {
+    pub(super) fn on_statement_arrived(&mut self, new: NewStatement, start: StartPermission) {
         let context = &mut self.context;
         if let Some(coordination) = &mut context.coordination {
             let tenant = new.statement.tenant;
@@ -30,7 +30,7 @@
             coordination.on_statement_arrived(tenant, quota);
         }
         if context.ownership.is_some() {
-            self.look_up_statement(new);
+            self.look_up_statement(new, start);
         } else {
             self.open_statement(new);
         }
--- a/crates/ivypitch-gateway/src/actors/session/admission.rs
+++ b/crates/ivypitch-gateway/src/actors/session/admission.rs
@@ -30,6 +30,7 @@
     open_statements: Cell<usize>,
     can_show_queue: Cell<bool>,
     can_show_fleet: Cell<bool>,
+    has_ownership: Cell<bool>,
     /// Notified as a session has ended.
     ended: (Sender<()>, Receiver<()>),
 }
@@ -73,6 +74,7 @@
             open_statements: Cell::new(0),
             can_show_queue: Cell::new(false),
             can_show_fleet: Cell::new(false),
+            has_ownership: Cell::new(false),
             ended: async_channel::bounded(1),
         })
     }
@@ -82,6 +84,11 @@
         self.can_show_fleet.set(can);
     }
 
+    /// Whether other gateways may have run a statement that comes here.
+    pub fn set_has_ownership(&self, has: bool) {
+        self.has_ownership.set(has);
+    }
+
     /// Whether `SHOW QUEUE` and `SHOW WAIT` are served.
     pub fn set_can_show_queue(&self, can: bool) {
         self.can_show_queue.set(can);
@@ -182,6 +189,10 @@
         self.can_show_fleet.get()
     }
 
+    pub(super) fn has_ownership(&self) -> bool {
+        self.has_ownership.get()
+    }
+
     pub(super) fn notify_scheduler(&self, message: SchedulerMessage) {
         // The scheduler's mailbox is unbounded, and open as long as sessions run.
         let _ = self.scheduler.try_send(message);
--- a/crates/ivypitch-gateway/src/actors/session/commands.rs
+++ b/crates/ivypitch-gateway/src/actors/session/commands.rs
@@ -11,7 +11,9 @@
 use super::admission::UnknownConnection;
 use super::login::{DATABASE, UNKNOWN_DATABASE};
 use super::{Session, SessionEnd};
-use crate::actors::messages::{Answer, ClientHandle, ClientStatement, SchedulerMessage};
+use crate::actors::messages::{
+    Answer, ClientHandle, ClientStatement, SchedulerMessage, StartPermission,
+};
 use crate::actors::socket::read_some;
 use crate::state::sessions::SessionStage;
 use crate::wire::fields::{self, FieldsError};
@@ -91,10 +93,8 @@
             }
             return Ok(());
         }
-        // What is read once the gateway shuts down never reaches an engine.
         if self.sessions.is_ending() {
-            self.writer().error(&SHUTTING_DOWN);
-            return Ok(());
+            return self.on_late_query(&text, received_at).await;
         }
         if self.sessions.can_show_queue()
             && let Some(show) = gateway_statements::show_waits(&text)
@@ -104,8 +104,30 @@
         if self.sessions.can_show_fleet() && gateway_statements::is_show_fleet(&text) {
             return self.show_fleet().await;
         }
-        match client_statement(&text, self.sessions.names()) {
-            Ok(statement) => self.run_statement(statement, received_at).await,
+        self.on_statement(&text, received_at, StartPermission::Granted)
+            .await
+    }
+
+    /// What is read once the gateway shuts down never reaches an engine from here. Where gateways talk to each other,
+    /// another one may have run it.
+    async fn on_late_query(&mut self, text: &Bytes, received_at: Nanos) -> Result<(), SessionEnd> {
+        if self.sessions.has_ownership() {
+            return self
+                .on_statement(text, received_at, StartPermission::ShuttingDown)
+                .await;
+        }
+        self.writer().error(&SHUTTING_DOWN);
+        Ok(())
+    }
+
+    async fn on_statement(
+        &mut self,
+        text: &Bytes,
+        received_at: Nanos,
+        start: StartPermission,
+    ) -> Result<(), SessionEnd> {
+        match client_statement(text, self.sessions.names()) {
+            Ok(statement) => self.run_statement(statement, received_at, start).await,
             Err(error) => {
                 self.writer().error(&error.into());
                 Ok(())
@@ -118,6 +140,7 @@
         &mut self,
         statement: ClientStatement,
         arrived_at: Nanos,
+        start: StartPermission,
     ) -> Result<(), SessionEnd> {
         let sessions = self.sessions.clone();
         let Some(_open) = sessions.open_statement() else {
@@ -130,6 +153,7 @@
             connection,
             statement,
             arrived_at,
+            start,
             client: ClientHandle {
                 answer: sender,
                 presence: Some(self.presence.clone()),
--- a/crates/ivypitch-gateway/src/lifecycle/startup.rs
+++ b/crates/ivypitch-gateway/src/lifecycle/startup.rs
@@ -99,6 +99,7 @@
     team_budgets: Option<TeamBudgets>,
     can_show_queue: bool,
     has_coordination: bool,
+    has_ownership: bool,
 }
 
 impl OperatorFeatures {
@@ -113,6 +114,7 @@
                 team_budgets: None,
                 can_show_queue: false,
                 has_coordination: false,
+                has_ownership: false,
             });
         };
         let mut team_budgets = TeamBudgets {
@@ -128,6 +130,7 @@
         Ok(OperatorFeatures {
             can_show_queue: shows_queue && budgets.is_some(),
             has_coordination: peers.is_some_and(|peers| peers.coordination.enabled),
+            has_ownership: peers.is_some_and(|peers| peers.ownership.enabled),
             budgets,
             team_budgets: Some(team_budgets),
         })
@@ -156,6 +159,7 @@
         let sessions = Sessions::new(self.bounds, names, self.clock, scheduler, self.seed);
         sessions.set_can_show_queue(features.can_show_queue);
         sessions.set_can_show_fleet(features.has_coordination);
+        sessions.set_has_ownership(features.has_ownership);
         sessions
     }
 
--- a/crates/ivypitch-testbed/src/stand_ins.rs
+++ b/crates/ivypitch-testbed/src/stand_ins.rs
@@ -869,6 +869,14 @@
         (client.answer(2).code() == 0).then_some(client)
     }
 
+    /// Login and statement in one write, as clients may send them, and the answer to the statement.
+    pub fn ask_at_once(address: SocketAddr, text: &str) -> Answer {
+        let mut client = Client::bare_at(address);
+        client.send(&[login("app"), query(text)].concat());
+        client.greeted();
+        client.answer(1)
+    }
+
     /// `None`: its gateway has gone.
     pub fn try_ask(&mut self, text: &str) -> Option<Answer> {
         self.stream.write_all(&query(text)).ok()?;
