Keep an answer whose client is still with the scheduler

Callers heard 1105 after their whole time of a load that was over elsewhere. Cause: votes that tell the end answer the client before the denial moves it from the scheduler to ownership; the answer found no client and was dropped. Change: such an answer is kept until the event's actions are done.

--- a/crates/ivypitch-cli/tests/takeover.rs
+++ b/crates/ivypitch-cli/tests/takeover.rs
@@ -705,6 +705,29 @@
     assert_eq!(s.held.starts(1), 1);
 }
 
+/// Guards against a client that hears of a load that is over only once its own time has ended.
+#[test]
+fn a_load_that_is_over_is_answered_at_once_where_its_votes_tell_so() {
+    let unasked = PEERS.replace("\"asks_from_ms\":0", "\"asks_from_ms\":100000");
+    let s = scene_of(7, &unasked).voting();
+    let witnesses = VoterAssignment::new((0..7).map(|g| g % 3).collect(), 5);
+    // The second gateway is no voter of these and does not ask before it starts them.
+    let is_unknown_to_second = |&id: &u64| !voters_of(&witnesses, id).contains(&1);
+    s.held.fail_starts(true);
+    for id in (1..1000).filter(is_unknown_to_second).take(5) {
+        let failed = s.client(0).ask(&statement("load", id, LONGEST));
+        assert_eq!(failed.code(), 1105, "{failed:?}");
+        // Until its voters have heard of the end.
+        thread::sleep(std::time::Duration::from_millis(100));
+        let began = Instant::now();
+        let again = s.client(1).ask(&statement("load", id, LONGEST));
+        assert_eq!(again.code(), 1105, "{again:?}");
+        let took = began.elapsed();
+        assert!(took.as_millis() < u128::from(LONGEST / 2), "{took:?}");
+        assert_eq!(s.held.starts(id), 1);
+    }
+}
+
 #[test]
 fn a_gateway_without_peers_sends_no_load_that_another_might_have_sent() {
     let mut s = scene(3).voting();
--- a/crates/ivypitch-gateway/src/actors/ownership.rs
+++ b/crates/ivypitch-gateway/src/actors/ownership.rs
@@ -144,6 +144,12 @@
     pub start: StartPermission,
 }
 
+/// A client to be answered whose statement the scheduler still had.
+struct UnclaimedAnswer {
+    token: u64,
+    answer: FinalAnswer,
+}
+
 /// Connects ownership of statements to this gateway's actors.
 pub struct OwnershipDriver {
     ownership: Ownership,
@@ -152,6 +158,8 @@
     waiting_clients: BTreeMap<u64, WaitingClient>,
     /// An attempt leaves as it is granted, denied or over.
     pending_attempts: BTreeMap<StatementId, Attempt>,
+    /// Emptied once no action is left.
+    unclaimed_answers: Vec<UnclaimedAnswer>,
     last_token: u64,
     min_lookup_work: Nanos,
 }
@@ -172,6 +180,7 @@
             },
             waiting_clients: BTreeMap::new(),
             pending_attempts: BTreeMap::new(),
+            unclaimed_answers: Vec::new(),
             last_token: 0,
             min_lookup_work,
         }
@@ -274,6 +283,27 @@
         self.waiting_clients.remove(&token)
     }
 
+    /// Keeps the answer to a client whose statement the scheduler has until an action that is still to come takes it off
+    /// there.
+    pub fn keep_unclaimed_answer(&mut self, token: u64, answer: FinalAnswer) {
+        self.unclaimed_answers
+            .push(UnclaimedAnswer { token, answer });
+    }
+
+    /// Takes the answer that was kept for a client.
+    pub fn take_unclaimed_answer(&mut self, token: u64) -> Option<FinalAnswer> {
+        let index = self
+            .unclaimed_answers
+            .iter()
+            .position(|unclaimed| unclaimed.token == token)?;
+        Some(self.unclaimed_answers.swap_remove(index).answer)
+    }
+
+    /// No action is left: answers that were kept are for clients that have gone.
+    pub fn drop_unclaimed_answers(&mut self) {
+        self.unclaimed_answers.clear();
+    }
+
     /// Takes the first client whose statement may still proceed here, with its token.
     pub fn take_client_to_proceed(&mut self, id: StatementId) -> Option<(u64, WaitingClient)> {
         let (&token, _) = self
--- a/crates/ivypitch-gateway/src/actors/scheduler/ownership.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/ownership.rs
@@ -2,7 +2,7 @@
 //! gateway is lost, handed off when this one shuts down.
 
 use bytes::Bytes;
-use ivypitch_ownership::{ArrivalDecision, GrantDenial, StatementId, StatementSpec};
+use ivypitch_ownership::{ArrivalDecision, FinalAnswer, GrantDenial, StatementId, StatementSpec};
 use ivypitch_scheduler::Arrival;
 use ivypitch_types::{EngineIndex, MILLISECOND, Nanos, Outcome, StatementIndex};
 
@@ -51,17 +51,22 @@
                 } => self.deny_attempt(id, attempt, denial),
                 Action::Proceed { id } => self.proceed(id),
                 Action::TakeOver(takeover) => self.take_over(takeover),
-                Action::Answer { waiter, answer } => {
-                    if let Some(waiting) = self.take_waiter(waiter) {
-                        waiting.client.send(client_answer(answer));
-                    }
-                }
+                Action::Answer { waiter, answer } => self.answer_waiter(waiter, answer),
             }
         }
+        if let Some(ownership) = &mut self.context.ownership {
+            ownership.drop_unclaimed_answers();
+        }
     }
 
-    fn take_waiter(&mut self, token: u64) -> Option<WaitingClient> {
-        self.context.ownership.as_mut()?.take_waiting_client(token)
+    fn answer_waiter(&mut self, token: u64, answer: FinalAnswer) {
+        let Some(ownership) = &mut self.context.ownership else {
+            return;
+        };
+        match ownership.take_waiting_client(token) {
+            Some(waiting) => waiting.client.send(client_answer(answer)),
+            None => ownership.keep_unclaimed_answer(token, answer),
+        }
     }
 
     /// Dispatches an attempt. What has changed since it was asked for is checked again as its first byte leaves.
@@ -347,10 +352,15 @@
             return;
         };
         let token = open.client_token;
-        if let Some(waiting) = self.take_waiting_client(statement)
-            && let Some(ownership) = &mut self.ownership
-        {
-            ownership.add_waiting_client(token, waiting);
+        let Some(waiting) = self.take_waiting_client(statement) else {
+            return;
+        };
+        let Some(ownership) = &mut self.ownership else {
+            return;
+        };
+        match ownership.take_unclaimed_answer(token) {
+            Some(answer) => waiting.client.send(client_answer(answer)),
+            None => ownership.add_waiting_client(token, waiting),
         }
     }
 
