Let a KILL find a client that waits for another gateway's answer

Callers got OK for a KILL that did nothing, and 1105 at the end of their time. Cause: a KILL was looked for among the scheduler's statements only. Evidence: the new test got 1105 before. Change: clients that wait with ownership are looked at first. Result: the test passes.

--- a/crates/ivypitch-cli/tests/takeover.rs
+++ b/crates/ivypitch-cli/tests/takeover.rs
@@ -728,6 +728,18 @@
     }
 }
 
+/// Guards against a KILL that finds nothing, since the statement's client waits for another gateway.
+#[test]
+fn a_kill_finds_a_client_that_waits_for_another_gateways_answer() {
+    let s = scene(5).voting();
+    let _first = s.running(0, 1);
+    let mut back = s.sent(1, "load", 1);
+    let kill = format!("KILL QUERY {}", back.connection);
+    assert_eq!(s.client(1).ask(&kill), Answer::Rows(vec![]));
+    assert_eq!(back.answer(1).code(), 1317);
+    assert_eq!(s.held.starts(1), 1);
+}
+
 #[test]
 fn a_gateway_without_peers_sends_no_load_that_another_might_have_sent() {
     let mut s = scene(3).voting();
--- a/crates/ivypitch-gateway/src/actors/ownership.rs
+++ b/crates/ivypitch-gateway/src/actors/ownership.rs
@@ -314,7 +314,7 @@
         Some((token, waiting))
     }
 
-    /// The client of this connection has disconnected. Returns it if it waited here.
+    /// The client of this connection waits no longer. Returns it if it waited here.
     pub fn on_client_disconnected(&mut self, connection: u32) -> Option<WaitingClient> {
         let (&token, _) = self
             .waiting_clients
--- a/crates/ivypitch-gateway/src/actors/scheduler/statements.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/statements.rs
@@ -101,6 +101,13 @@
 
     /// A client asked to end the statement of this connection.
     pub(super) fn on_kill_query(&mut self, connection: u32) {
+        if let Some(ownership) = &mut self.context.ownership
+            && let Some(waiting) = ownership.on_client_disconnected(connection)
+        {
+            self.kills.found += 1;
+            waiting.client.send(Answer::Killed);
+            return;
+        }
         let Some(statement) = self.context.statements.find_by_connection(connection) else {
             self.kills.without_statement += 1;
             return;
