Hand over what has no session and say so when a planned stop ends

Callers whose connection had broken came back for a load and heard 1105: its engine had dropped it 2 s after its gateway ended. Cause: the hand-over comes 0.4 s before the latest end; a gateway without open sessions ends after 0.7 s and handed nothing over, and nothing called Membership::leave, so that others waited for the suspicion to end. Evidence: by reading; both new tests wait in vain with a suspicion of ten minutes on the code before. Change: once all sessions have ended the actor hands off what is left, the peer links leave, and 50 ms are kept for both.

--- a/crates/ivypitch-cli/tests/takeover.rs
+++ b/crates/ivypitch-cli/tests/takeover.rs
@@ -766,6 +766,31 @@
     assert_eq!(answer.code(), 1105, "{answer:?}");
 }
 
+/// Others take a member for lost only long after a test has failed, unless it says that it leaves.
+const VERY_PATIENT_PEERS: &str =
+    r#""period_ms":200,"suspicion_ms":600000,"custody":{"remembered_ms":400,"asks_from_ms":0}"#;
+
+/// Guards against a fleet that waits for a gateway that has ended.
+#[test]
+fn a_planned_stop_is_known_to_the_others_at_once() {
+    let mut s = scene_of(3, VERY_PATIENT_PEERS);
+    assert_eq!(s.fleet.end(0), Some(0));
+    s.wait_lost(1, 0);
+    s.wait_lost(2, 0);
+}
+
+/// Guards against a load that is left at its engine, since no session of its gateway waits for it any more.
+#[test]
+fn a_planned_stop_hands_over_a_load_whose_client_has_gone() {
+    let mut s = scene_of(3, VERY_PATIENT_PEERS).voting();
+    drop(s.running(0, 1));
+    assert_eq!(s.fleet.end(0), Some(0));
+    s.held.wait_ask(1, 0, &[0]);
+    s.held.end(1);
+    assert_eq!(s.client(1).ask(&statement("load", 1, LONGEST)), rows(1));
+    assert_eq!(s.held.starts(1), 1);
+}
+
 #[test]
 fn a_gateway_without_peers_sends_no_load_that_another_might_have_sent() {
     let mut s = scene(3).voting();
--- a/crates/ivypitch-gateway/src/actors/coordination.rs
+++ b/crates/ivypitch-gateway/src/actors/coordination.rs
@@ -99,6 +99,11 @@
 }
 
 impl CoordinationDriver {
+    /// This process ends: the other gateways are notified.
+    pub fn leave(&self) {
+        let _ = self.output.peers.try_send(PeerLinksMessage::Leave);
+    }
+
     /// Creates a driver. `peers` sends messages to other gateways; `discovery` takes watch events that other gateways relay.
     pub fn new(
         coordinator: Coordinator,
--- a/crates/ivypitch-gateway/src/actors/messages.rs
+++ b/crates/ivypitch-gateway/src/actors/messages.rs
@@ -133,6 +133,11 @@
         /// All open statements are answered by then.
         answer_by: Nanos,
     },
+    /// All sessions have ended: other gateways are to go on with what is left.
+    LeaveFleet {
+        /// Gets whether there are other gateways that were sent anything.
+        reply: Sender<bool>,
+    },
     /// The watch on the endpoint list delivered a line, which other gateways may not have yet.
     WatchLineRead {
         /// The event, where the line was one that this gateway did not have.
--- a/crates/ivypitch-gateway/src/actors/ownership.rs
+++ b/crates/ivypitch-gateway/src/actors/ownership.rs
@@ -392,6 +392,11 @@
         self.ownership.hand_off(now, &mut self.output)
     }
 
+    /// This process ends: the other gateways are notified, behind all that was sent before.
+    pub fn leave(&self) {
+        let _ = self.output.peers.try_send(PeerLinksMessage::Leave);
+    }
+
     /// Logs what ownership has done since the process started.
     pub fn log_totals(&self) {
         let counters = self.ownership.counters();
--- a/crates/ivypitch-gateway/src/actors/peer_links/datagrams.rs
+++ b/crates/ivypitch-gateway/src/actors/peer_links/datagrams.rs
@@ -81,6 +81,11 @@
         }
     }
 
+    /// Notifies the other members that this process ends.
+    pub(super) fn leave(&mut self, now: Nanos) {
+        self.membership.leave(now);
+    }
+
     /// Sends what the membership protocol wants sent.
     pub(super) fn flush(&mut self) {
         while let Some(datagram) = self.membership.next_datagram() {
--- a/crates/ivypitch-gateway/src/actors/peer_links/messages.rs
+++ b/crates/ivypitch-gateway/src/actors/peer_links/messages.rs
@@ -33,6 +33,8 @@
         /// The message.
         gossip: GossipMessage,
     },
+    /// This process ends: the others are notified.
+    Leave,
     /// Another member has opened a link to here.
     LinkAccepted(AcceptedLink),
     /// A link has ended.
--- a/crates/ivypitch-gateway/src/actors/peer_links/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/peer_links/mod.rs
@@ -186,6 +186,7 @@
                 self.links.send(to, &Frame::Coordination(message));
             }
             PeerLinksMessage::SendGossip { to, gossip } => self.datagrams.send_gossip(to, &gossip),
+            PeerLinksMessage::Leave => self.datagrams.leave(self.context.clock.now()),
             PeerLinksMessage::LinkAccepted(link) => self.links.on_accepted(link),
             PeerLinksMessage::LinkClosed { member, serial } => self.links.on_closed(member, serial),
         }
--- a/crates/ivypitch-gateway/src/actors/scheduler/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/mod.rs
@@ -249,6 +249,9 @@
             SchedulerMessage::WatchLineRead { event } => self.on_watch_line_read(event),
             SchedulerMessage::PeerEvent(peer) => self.on_peer_event(peer),
             SchedulerMessage::Shutdown { answer_by } => self.on_shutdown(answer_by),
+            SchedulerMessage::LeaveFleet { reply } => {
+                let _ = reply.try_send(self.leave_fleet());
+            }
             SchedulerMessage::ReloadBudgets { budgets } => self.reload_budgets(*budgets),
             SchedulerMessage::ShowFleet { reply } => {
                 let _ = reply.try_send(self.fleet_view());
@@ -283,6 +286,20 @@
         }
     }
 
+    /// Hands off what is left and notifies the other gateways. Returns whether there are any.
+    fn leave_fleet(&mut self) -> bool {
+        self.hand_off();
+        let context = &self.context;
+        if let Some(ownership) = &context.ownership {
+            ownership.leave();
+        } else if let Some(coordination) = &context.coordination {
+            coordination.leave();
+        } else {
+            return false;
+        }
+        true
+    }
+
     /// Does what queues, ownership and coordination ask for, until nothing is left.
     fn apply_actions(&mut self) {
         self.apply_queueing_actions();
--- a/crates/ivypitch-gateway/src/actors/scheduler/ownership.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/ownership.rs
@@ -255,13 +255,16 @@
         }
     }
 
-    /// Hands the statements that can't end before the shutdown off to other gateways.
+    /// Hands the statements that can't end before the shutdown off to other gateways. The second time: what has come to
+    /// this one since.
     pub(super) fn hand_off(&mut self) {
         let Some(ownership) = &mut self.context.ownership else {
             return;
         };
-        self.context.has_handed_off = true;
-        ownership.log_totals();
+        if !self.context.has_handed_off {
+            self.context.has_handed_off = true;
+            ownership.log_totals();
+        }
         for id in ownership.hand_off(self.context.now) {
             if let Some(statement) = self.context.statements.find_by_id(id) {
                 self.hand_off_statement(statement);
--- a/crates/ivypitch-gateway/src/lifecycle/shutdown.rs
+++ b/crates/ivypitch-gateway/src/lifecycle/shutdown.rs
@@ -18,6 +18,8 @@
 const MAX_AWAITED_TIMEOUT: Nanos = 3_000_000_000;
 /// Reserved for the last answers to be written.
 const LAST_ANSWERS_PERIOD: Nanos = 150_000_000;
+/// In which the last messages to other gateways leave.
+const LAST_MESSAGES_PERIOD: Duration = Duration::from_millis(50);
 
 impl Gateway {
     /// From SIGTERM to the end; `accepting` is the task that accepts connections.
@@ -45,10 +47,22 @@
         {
             self.wait_until_closed(give_up_at).await;
         }
+        self.leave_fleet(give_up_at).await;
         self.enter(Phase::Stopped);
         self.connections.log_totals();
     }
 
+    /// Where gateways talk to each other, the others go on with what has no session here, and hear that this one ends.
+    async fn leave_fleet(&self, give_up_at: Instant) {
+        let (reply, has_peers) = async_channel::bounded(1);
+        let _ = self
+            .scheduler
+            .try_send(SchedulerMessage::LeaveFleet { reply });
+        if has_peers.recv().await == Ok(true) {
+            Timer::at(give_up_at.min(Instant::now() + LAST_MESSAGES_PERIOD)).await;
+        }
+    }
+
     async fn wait_until_closed(&mut self, give_up_at: Instant) {
         let sessions = self.sessions.clone();
         let timed_out = async {
