End an attempt that is handed over before its start is answered without a word to the engine

Callers whose load was handed over in the moment of its start found it given up at its engine. Cause: the start of an attempt took Detach, another gateway goes on, for Cancel. Change: the two are told apart; a start that is handed over ends here.

--- a/crates/ivypitch-cli/tests/takeover.rs
+++ b/crates/ivypitch-cli/tests/takeover.rs
@@ -791,6 +791,34 @@
     assert_eq!(s.held.starts(1), 1);
 }
 
+/// Guards against a load that is given up at its engine, since its gateway ends before the engine has answered the start.
+#[test]
+fn a_planned_stop_hands_over_a_load_whose_start_is_not_answered() {
+    let mut s = scene_of(3, VERY_PATIENT_PEERS).voting();
+    // A statement in time for the end of the drain period; its client goes, so that nothing holds up the end.
+    let mut late = s.client(0);
+    s.fleet.signal(0, Signal::TERM);
+    s.fleet.seats[0].log.wait("signal", |l| {
+        is_event(l, "lifecycle phase changed", &[("to", "draining")])
+    });
+    thread::sleep(std::time::Duration::from_millis(550));
+    let answers = s.held.hold_starts();
+    late.send(&query(&statement("load", 1, LONGEST)));
+    assert_eq!(s.held.wait_start(1), 0);
+    drop(late);
+    s.fleet.seats[0]
+        .log
+        .wait("handoff", |l| l.contains("handed off statements=1"));
+    answers.push(());
+    assert_eq!(s.fleet.end(0), Some(0));
+    s.held.wait_ask(1, 0, &[0]);
+    let is_given_up = |(_, call): &(usize, Call)| call.is("DELETE") && call.path.ends_with('1');
+    assert!(!s.held.calls.all().iter().any(is_given_up));
+    s.held.end(1);
+    assert_eq!(s.client(1).ask(&statement("load", 1, LONGEST)), rows(1));
+    assert_eq!(s.held.starts(1), 1);
+}
+
 #[test]
 fn a_gateway_without_peers_sends_no_load_that_another_might_have_sent() {
     let mut s = scene(3).voting();
--- a/crates/ivypitch-gateway/src/actors/attempt/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/attempt/mod.rs
@@ -89,14 +89,27 @@
         self.mailbox.recv().await.unwrap_or(AttemptMessage::Cancel)
     }
 
-    /// Returns once it is cancelled; a priority that comes before that is kept for later.
-    async fn cancelled(&self) {
-        while let AttemptMessage::Priority(priority) = self.next_message().await {
-            self.unsent_priority.set(Some(priority));
+    /// Returns once it is withdrawn; a priority that comes before that is kept for later.
+    async fn withdrawn(&self) -> Withdrawal {
+        loop {
+            match self.next_message().await {
+                AttemptMessage::Priority(priority) => self.unsent_priority.set(Some(priority)),
+                AttemptMessage::Cancel => return Withdrawal::Cancelled,
+                AttemptMessage::Detach => return Withdrawal::Detached,
+            }
         }
     }
 }
 
+/// Why an attempt is not wanted here any more.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum Withdrawal {
+    /// It is to end at its engine too.
+    Cancelled,
+    /// Another gateway goes on with it.
+    Detached,
+}
+
 /// An attempt that runs at its engine.
 struct AttemptRun<'a> {
     attempt: &'a Attempt,
--- a/crates/ivypitch-gateway/src/actors/attempt/start.rs
+++ b/crates/ivypitch-gateway/src/actors/attempt/start.rs
@@ -7,7 +7,7 @@
 use futures_lite::FutureExt;
 use ivypitch_types::Outcome;
 
-use super::{Attempt, AttemptRun};
+use super::{Attempt, AttemptRun, Withdrawal};
 use crate::actors::engine_client::POLL_TIMEOUT;
 use crate::actors::engine_connection::{CallError, EngineConnection};
 use crate::actors::messages::{AttemptEnd, AttemptMessage};
@@ -19,6 +19,14 @@
 /// So many connections in a row may close, or bring bytes, before the start has left.
 const MAX_UNFIT_CONNECTIONS: usize = 3;
 
+/// What came first after a start had been written.
+enum StartOutcome {
+    Responded(Result<Response, CallError>),
+    /// It was cancelled, and no response came in time.
+    Unanswered,
+    Detached,
+}
+
 impl AttemptRun<'_> {
     /// The start, up to its response; `None` where none came complete: it may run all the same and is polled for.
     pub(super) async fn start(&mut self) -> Result<Option<Response>, AttemptEnd> {
@@ -34,20 +42,25 @@
         let call = self
             .engine
             .exchange(connection, held, &request, POLL_TIMEOUT);
-        let responded = async { Some(call.await) };
-        let cancelled = async {
-            attempt.cancelled().await;
+        let responded = async { StartOutcome::Responded(call.await) };
+        let withdrawn = async {
+            if attempt.withdrawn().await == Withdrawal::Detached {
+                return StartOutcome::Detached;
+            }
             is_wanted.set(false);
             Timer::after(CANCELLED_START_TIMEOUT).await;
-            None
+            StartOutcome::Unanswered
         };
-        match responded.or(cancelled).await {
-            Some(Err(CallError::NotSent | CallError::ConnectionRefused)) => {
+        match responded.or(withdrawn).await {
+            StartOutcome::Responded(Err(CallError::NotSent | CallError::ConnectionRefused)) => {
                 Err(AttemptEnd::without_answer(Outcome::ConnectFailed))
             }
-            Some(Ok(response)) if response.status != status::RUNNING || is_wanted.get() => {
+            StartOutcome::Responded(Ok(response))
+                if response.status != status::RUNNING || is_wanted.get() =>
+            {
                 Ok(Some(response))
             }
+            StartOutcome::Detached => Err(AttemptEnd::without_answer(Outcome::Cancelled)),
             _ if is_wanted.get() => Ok(None),
             _ => Err(self.cancel().await),
         }
@@ -59,7 +72,7 @@
         let attempt = self.attempt;
         let mut unfit = 0;
         loop {
-            let connection = self.acquire_unless_cancelled().await?;
+            let connection = self.acquire_unless_withdrawn().await?;
             if !self.engine.is_fit(&connection) {
                 // Something came on it, or its engine has moved meanwhile: another one, and the question anew.
                 unfit += 1;
@@ -76,18 +89,18 @@
         }
     }
 
-    async fn acquire_unless_cancelled(&self) -> Result<EngineConnection, AttemptEnd> {
+    async fn acquire_unless_withdrawn(&self) -> Result<EngineConnection, AttemptEnd> {
         let acquire = async {
             self.engine
                 .acquire(&self.attempt.start.statement_id)
                 .await
                 .map_err(|_| AttemptEnd::without_answer(Outcome::ConnectFailed))
         };
-        let cancelled = async {
-            self.attempt.cancelled().await;
+        let withdrawn = async {
+            self.attempt.withdrawn().await;
             Err(AttemptEnd::without_answer(Outcome::NotSent))
         };
-        cancelled.or(acquire).await
+        withdrawn.or(acquire).await
     }
 }
 
--- a/crates/ivypitch-testbed/src/stand_ins.rs
+++ b/crates/ivypitch-testbed/src/stand_ins.rs
@@ -221,6 +221,8 @@
     /// By id: the pages of its end, where it has ended.
     known: BTreeMap<u64, Option<Vec<String>>>,
     mute_starts: bool,
+    /// Answers to starts wait for this.
+    starts_released: Option<Seen<()>>,
     mute_pages: bool,
     fail_starts: bool,
 }
@@ -276,8 +278,14 @@
         let one = |gateway: usize| {
             let (shared, calls) = (shared.clone(), calls.clone());
             let engine = Engine::start(move |call, _| {
-                let reply = shared.lock().unwrap().reply(call);
+                let (reply, released) = {
+                    let mut queries = shared.lock().unwrap();
+                    (queries.reply(call), queries.starts_released.clone())
+                };
                 calls.push((gateway, call.clone()));
+                if let Some(released) = released.filter(|_| call.is("POST")) {
+                    released.wait("release of the answers to starts", |_| true);
+                }
                 if matches!(&reply, Reply::Say(text) if text.contains(" 202 ")) {
                     // An engine holds back that there is no news.
                     thread::sleep(NO_NEWS);
@@ -306,6 +314,13 @@
         self.shared.lock().unwrap().mute_starts = is;
     }
 
+    /// Starts are taken, and answered once the returned is pushed to.
+    pub fn hold_starts(&self) -> Seen<()> {
+        let released = Seen::new();
+        self.shared.lock().unwrap().starts_released = Some(released.clone());
+        released
+    }
+
     /// Starts end in an error.
     pub fn fail_starts(&self, is: bool) {
         self.shared.lock().unwrap().fail_starts = is;
