Pause between failed polls of an attempt that another gateway started

Engines that close each connection were asked without a pause for loads that were taken over. Cause: every failed poll of such an attempt counted as its first. Change: a flag tells the first poll apart, so that pause and timeout grow as for any other attempt.

--- a/crates/ivypitch-cli/tests/takeover.rs
+++ b/crates/ivypitch-cli/tests/takeover.rs
@@ -819,6 +819,27 @@
     assert_eq!(s.held.starts(1), 1);
 }
 
+/// Guards against an engine that is asked without a pause, since it closes each connection on which it is asked.
+#[test]
+fn an_engine_that_closes_is_polled_with_pauses_for_a_load_that_was_taken_over() {
+    const WATCHED: std::time::Duration = std::time::Duration::from_secs(1);
+    const MAX_POLLS: usize = 40;
+    let mut s = scene(5).voting();
+    s.running(0, 1);
+    s.held.close_polls(true);
+    s.fleet.kill(0);
+    s.held.wait_ask(1, 0, &[0]);
+    let path = format!("/c/{:016x}/0", 1);
+    let is_poll = |(by, call): &&(usize, Call)| *by != 0 && call.is("GET") && call.path == path;
+    thread::sleep(WATCHED);
+    let polls = s.held.calls.all().iter().filter(is_poll).count();
+    assert!(polls < MAX_POLLS, "{polls} in a second");
+    s.held.close_polls(false);
+    s.held.end(1);
+    assert_eq!(s.client(1).ask(&statement("load", 1, LONGEST)), rows(1));
+    assert_eq!(s.held.starts(1), 1);
+}
+
 #[test]
 fn a_gateway_without_peers_sends_no_load_that_another_might_have_sent() {
     let mut s = scene(3).voting();
--- a/crates/ivypitch-gateway/src/actors/attempt/polling.rs
+++ b/crates/ivypitch-gateway/src/actors/attempt/polling.rs
@@ -55,21 +55,21 @@
     /// Polls, from the response to the start on, until the engine reports the end.
     pub(super) async fn poll_until_end(&mut self, mut response: Option<Response>) -> AttemptEnd {
         let mut failures = 0;
+        // An attempt that another gateway started has no response to begin with.
+        let mut has_failed = !self.attempt.is_already_started;
         loop {
             if let Some(response) = &response
                 && let Some(end) = self.on_response(response).await
             {
                 return end;
             }
-            // An attempt that another gateway started has no response to begin with.
-            let is_already_started = self.attempt.is_already_started;
-            let is_first_poll = is_already_started && response.is_none() && failures == 0;
             let is_running = response.is_some_and(|response| response.status == status::RUNNING);
-            failures = if is_first_poll || is_running {
+            failures = if is_running || !has_failed {
                 0
             } else {
                 failures + 1
             };
+            has_failed = true;
             if failures > 1 {
                 Timer::after(RETRY_PAUSE).await;
             }
--- a/crates/ivypitch-testbed/src/stand_ins.rs
+++ b/crates/ivypitch-testbed/src/stand_ins.rs
@@ -224,6 +224,7 @@
     /// Answers to starts wait for this.
     starts_released: Option<Seen<()>>,
     mute_pages: bool,
+    close_polls: bool,
     fail_starts: bool,
 }
 
@@ -243,6 +244,9 @@
         if call.is("POST") && self.fail_starts {
             return say(500, "", "");
         }
+        if call.is("GET") && self.close_polls {
+            return Reply::Close;
+        }
         if call.is("POST") {
             let auto = (number >= 1 << 32).then(|| vec![format!("{id}\tb\tc\n")]);
             self.known.entry(number).or_insert(auto);
@@ -326,6 +330,11 @@
         self.shared.lock().unwrap().fail_starts = is;
     }
 
+    /// Connections close at every question.
+    pub fn close_polls(&self, is: bool) {
+        self.shared.lock().unwrap().close_polls = is;
+    }
+
     /// Starts that came through this gateway's address.
     pub fn starts_by(&self, gateway: usize) -> usize {
         self.calls
