Add a soak of restarts with a checker of every request and process

The checker judges each request and process and counts allowed losses apart. Sessions and configuration files of the testbed moved to one place each.

--- a/crates/ivypitch-gateway/src/actors/socket.rs
+++ b/crates/ivypitch-gateway/src/actors/socket.rs
@@ -23,10 +23,7 @@
 }
 
 /// Like [`read_some`] without waiting; `None`: nothing is there.
-pub(crate) fn read_now(
-    stream: &Async<TcpStream>,
-    into: &mut BytesMut,
-) -> io::Result<Option<usize>> {
+pub fn read_now(stream: &Async<TcpStream>, into: &mut BytesMut) -> io::Result<Option<usize>> {
     loop {
         let start = into.len();
         into.resize(start + READ_BYTES, 0);
--- a/crates/ivypitch-testbed/src/command.rs
+++ b/crates/ivypitch-testbed/src/command.rs
@@ -45,6 +45,9 @@
     /// Replays a run; without it one is drawn and printed.
     #[arg(long)]
     seed: Option<u64>,
+    /// Plays so many seeds in turn, from --seed on; exits 0 where all hold.
+    #[arg(long, default_value_t = 1)]
+    seeds: u64,
     /// The figures as JSON into this file.
     #[arg(long, value_name = "FILE")]
     json: Option<PathBuf>,
@@ -72,6 +75,26 @@
 }
 
 impl Run {
+    /// A line a seed, and the whole report of each that fails.
+    fn play_seeds(&self, experiment: &experiments::Experiment, first: u64) -> ExitCode {
+        let mut failed = 0;
+        for seed in first..first + self.seeds {
+            let report = (experiment.run)(self.quick, seed);
+            if report.holds() {
+                println!("seed {seed} holds: {}", report.notes.join("; "));
+            } else {
+                failed += 1;
+                println!("seed {seed} FAILS\n{}", report.text());
+            }
+        }
+        println!("{failed} of {} seeds failed", self.seeds);
+        if failed == 0 {
+            ExitCode::SUCCESS
+        } else {
+            ExitCode::FAILURE
+        }
+    }
+
     fn play(self) -> ExitCode {
         let Some(experiment) = experiments::ALL.iter().find(|e| e.name == self.name) else {
             let names: Vec<&str> = experiments::ALL.iter().map(|e| e.name).collect();
@@ -85,6 +108,9 @@
         let seed = self
             .seed
             .unwrap_or_else(|| rand::random::<u64>() % 1_000_000);
+        if self.seeds > 1 {
+            return self.play_seeds(experiment, seed);
+        }
         let report = (experiment.run)(self.quick, seed);
         print!("{}", report.text());
         let mut written = Ok(());
--- a/crates/ivypitch-testbed/src/experiments/mod.rs
+++ b/crates/ivypitch-testbed/src/experiments/mod.rs
@@ -8,6 +8,7 @@
 pub mod members;
 pub mod scale;
 pub mod shares;
+pub mod soak;
 pub mod team_flood;
 
 use crate::report::Report;
@@ -54,6 +55,11 @@
         about: "latency, processor time and bytes that it costs to outlive a gateway, where nothing is lost",
         run: custody_cost::play,
     },
+    Experiment {
+        name: "soak",
+        about: "real gateways restarted, reloaded and signalled in series while clients go on using their connections",
+        run: soak::play,
+    },
     Experiment {
         name: "scale",
         about: "what each part costs at 30 to 3,800 gateways and 80 to 44,000 engines, with slopes, in virtual time",
--- /dev/null
+++ b/crates/ivypitch-testbed/src/experiments/soak/operator.rs
@@ -0,0 +1,411 @@
+//! The operator of the soak's fleet: carries the plan out on its processes, and records what became of each.
+
+use std::os::unix::process::ExitStatusExt;
+use std::process::ExitStatus;
+use std::sync::Arc;
+use std::thread;
+use std::time::{Duration, Instant};
+
+use rustix::process::Signal;
+
+use super::frontend::Frontend;
+use super::observations::{Drain, Process, ProcessEnd};
+use super::plan::{DrainSignal, Operation, Restart, SoakPlan};
+use crate::processes::Fleet;
+use crate::processes::engine::stamp;
+use crate::processes::relay::End;
+use crate::processes::restarts::ConfigurationChange;
+
+const TICK: Duration = Duration::from_millis(5);
+/// A process that is told to end as it starts ends within this time.
+const END_WHILE_STARTING: Duration = Duration::from_secs(15);
+
+/// What is due at a time.
+enum Step {
+    Begin(Operation),
+    Reload {
+        gateway: usize,
+        change: ConfigurationChange,
+    },
+    /// To the process of this number, if it still runs.
+    Signal {
+        process: usize,
+        signal: Signal,
+    },
+    KillOverdue {
+        process: usize,
+    },
+    EndDrain {
+        engine: usize,
+    },
+    EndHang {
+        engine: usize,
+    },
+    EndSilentWatch {
+        gateway: usize,
+    },
+    EndCutOff {
+        gateway: usize,
+    },
+}
+
+struct DueStep {
+    at: Instant,
+    step: Step,
+}
+
+/// What the operator has seen.
+#[derive(Default)]
+pub struct OperatorRecord {
+    pub processes: Vec<Process>,
+    pub drains: Vec<Drain>,
+    /// Processes that SIGTERM ended before they could handle it.
+    pub ended_before_handler: usize,
+}
+
+pub struct Operator<'a> {
+    fleet: &'a mut Fleet,
+    frontend: Arc<Frontend>,
+    kill_after: Duration,
+    /// Number of each gateway's process in the record.
+    current: Vec<usize>,
+    /// Restarts of which the process has not ended yet, by gateway.
+    stopping: Vec<Option<Restart>>,
+    steps: Vec<DueStep>,
+    record: OperatorRecord,
+}
+
+impl<'a> Operator<'a> {
+    /// For a fleet that has just started.
+    pub fn new(
+        fleet: &'a mut Fleet,
+        frontend: Arc<Frontend>,
+        kill_after: Duration,
+    ) -> Operator<'a> {
+        let gateways = fleet.setup.gateways;
+        let started_at = stamp();
+        let processes = (0..gateways)
+            .map(|gateway| new_process(gateway, started_at, Some(started_at)))
+            .collect();
+        Operator {
+            fleet,
+            frontend,
+            kill_after,
+            current: (0..gateways).collect(),
+            stopping: vec![None; gateways],
+            steps: Vec::new(),
+            record: OperatorRecord {
+                processes,
+                ..OperatorRecord::default()
+            },
+        }
+    }
+
+    /// Carries the plan out, then ends all gateways.
+    pub fn run(mut self, plan: &SoakPlan, from: Instant) -> OperatorRecord {
+        for planned in &plan.operations {
+            self.steps.push(DueStep {
+                at: from + Duration::from_millis(planned.at),
+                step: Step::Begin(planned.operation.clone()),
+            });
+        }
+        let until = from + Duration::from_millis(plan.span);
+        while Instant::now() < until || self.stopping.iter().any(Option::is_some) {
+            self.tick();
+        }
+        self.end_all();
+        self.record
+    }
+
+    fn tick(&mut self) {
+        let now = Instant::now();
+        while let Some(index) = self.steps.iter().position(|due| due.at <= now) {
+            let due = self.steps.remove(index);
+            self.carry_out(due.step);
+        }
+        for gateway in 0..self.current.len() {
+            if let Some(status) = self.fleet.try_wait(gateway) {
+                self.on_ended(gateway, status);
+            }
+        }
+        thread::sleep(TICK);
+    }
+
+    fn after(&mut self, ms: u64, step: Step) {
+        let at = Instant::now() + Duration::from_millis(ms);
+        self.steps.push(DueStep { at, step });
+    }
+
+    fn carry_out(&mut self, step: Step) {
+        match step {
+            Step::Begin(operation) => self.begin(operation),
+            Step::Reload { gateway, change } => self.reload(gateway, change),
+            Step::Signal { process, signal } => self.signal(process, signal),
+            Step::KillOverdue { process } => self.kill_overdue(process),
+            Step::EndDrain { engine } => {
+                self.fleet.tell_state(engine, "in_service");
+                let drains = self.record.drains.iter_mut();
+                if let Some(drain) = drains.rev().find(|drain| drain.engine == engine) {
+                    drain.until = stamp();
+                }
+            }
+            Step::EndHang { engine } => self.fleet.order(engine, "mute 0"),
+            Step::EndSilentWatch { gateway } => {
+                self.fleet.net.hear(End::Journal, End::Gateway(gateway));
+            }
+            Step::EndCutOff { gateway } => self
+                .fleet
+                .cut(|a, b| (a == gateway) != (b == gateway), false),
+        }
+    }
+
+    fn begin(&mut self, operation: Operation) {
+        match operation {
+            Operation::Restart(restart) => self.begin_restart(restart),
+            Operation::Kill { gateway } => self.kill_outright(gateway),
+            Operation::Reload {
+                gateway,
+                changes,
+                gap,
+            } => {
+                for (number, change) in (0..).zip(changes) {
+                    self.after(gap * number, Step::Reload { gateway, change });
+                }
+            }
+            Operation::Drain { engine, span } => {
+                let is_draining = |drain: &Drain| drain.engine == engine && drain.until == u64::MAX;
+                if self.record.drains.iter().any(is_draining) {
+                    return;
+                }
+                self.fleet.tell_state(engine, "terminating");
+                self.record.drains.push(Drain {
+                    engine,
+                    told_at: stamp(),
+                    until: u64::MAX,
+                });
+                self.after(span, Step::EndDrain { engine });
+            }
+            Operation::Hang { engine, span } => {
+                self.fleet.order(engine, "mute 1");
+                self.after(span, Step::EndHang { engine });
+            }
+            Operation::Reset { gateway, engine } => {
+                self.fleet
+                    .net
+                    .reset(End::Gateway(gateway), End::Engine(engine));
+            }
+            Operation::SilentWatch { gateway, span } => {
+                self.fleet.net.silence(End::Journal, End::Gateway(gateway));
+                self.after(span, Step::EndSilentWatch { gateway });
+            }
+            Operation::CutOff { gateway, span } => {
+                self.fleet
+                    .cut(|a, b| (a == gateway) != (b == gateway), true);
+                self.after(span, Step::EndCutOff { gateway });
+            }
+        }
+    }
+
+    fn reload(&mut self, gateway: usize, change: ConfigurationChange) {
+        if self.stopping[gateway].is_some() {
+            return;
+        }
+        if let Err(error) = self.fleet.write_configuration(gateway, change) {
+            self.crash(gateway, &format!("configuration not written: {error}"));
+            return;
+        }
+        self.fleet.signal(gateway, Signal::HUP);
+    }
+
+    fn signal(&mut self, process: usize, signal: Signal) {
+        let gateway = self.record.processes[process].gateway;
+        if self.current[gateway] == process {
+            self.fleet.signal(gateway, signal);
+        }
+    }
+
+    fn begin_restart(&mut self, restart: Restart) {
+        let gateway = restart.gateway;
+        let process = self.current[gateway];
+        let now = stamp();
+        let closes_at = now + restart.new_connections_for * 1000;
+        let usage = self.fleet.usage(gateway);
+        let record = &mut self.record.processes[process];
+        if let Some(usage) = usage {
+            record.descriptors = usage.descriptors;
+            record.resident_bytes = usage.resident;
+        }
+        record.terminated_at = Some(now);
+        self.fleet.signal(gateway, Signal::TERM);
+        self.frontend.close_at(gateway, closes_at);
+        for &(after, signal) in &restart.signals {
+            let signal = match signal {
+                DrainSignal::Term => Signal::TERM,
+                DrainSignal::Hup => Signal::HUP,
+            };
+            self.after(after, Step::Signal { process, signal });
+        }
+        let kill_after = self.kill_after.as_millis() as u64;
+        self.after(kill_after, Step::KillOverdue { process });
+        self.stopping[gateway] = Some(restart);
+    }
+
+    fn kill_overdue(&mut self, process: usize) {
+        let gateway = self.record.processes[process].gateway;
+        if self.current[gateway] != process {
+            return;
+        }
+        if self.fleet.is_up(gateway) {
+            self.fleet.kill(gateway);
+            self.record_end(gateway, ProcessEnd::KilledAfterTerm);
+        }
+        let restart = self.stopping[gateway].take();
+        self.start(
+            gateway,
+            restart.and_then(|restart| restart.term_while_starting),
+        );
+    }
+
+    fn kill_outright(&mut self, gateway: usize) {
+        if self.stopping[gateway].is_some() {
+            return;
+        }
+        self.frontend.close_at(gateway, 0);
+        self.fleet.kill(gateway);
+        self.record_end(gateway, ProcessEnd::Killed);
+        self.start(gateway, None);
+    }
+
+    /// Its process has ended by itself.
+    fn on_ended(&mut self, gateway: usize, status: ExitStatus) {
+        let was_told = self.stopping[gateway].is_some();
+        let code = status.code().filter(|_| was_told);
+        self.record_end(gateway, ProcessEnd::Exited(code));
+        self.frontend.close_at(gateway, 0);
+        let starts_at_once = self.stopping[gateway]
+            .as_ref()
+            .is_none_or(|restart| restart.starts_at_once);
+        if starts_at_once {
+            let restart = self.stopping[gateway].take();
+            self.start(
+                gateway,
+                restart.and_then(|restart| restart.term_while_starting),
+            );
+        }
+    }
+
+    fn record_end(&mut self, gateway: usize, end: ProcessEnd) {
+        let process = &mut self.record.processes[self.current[gateway]];
+        process.ended_at = Some(stamp());
+        process.end = Some(end);
+    }
+
+    fn crash(&mut self, gateway: usize, what: &str) {
+        eprintln!("n{gateway}: {what}");
+        self.record_end(gateway, ProcessEnd::Exited(None));
+    }
+
+    /// Starts the next process, behind one that is told to end as it starts where the plan has that.
+    fn start(&mut self, gateway: usize, term_after: Option<u64>) {
+        let change = ConfigurationChange::Same;
+        if let Err(error) = self.fleet.write_configuration(gateway, change) {
+            self.crash(gateway, &format!("configuration not written: {error}"));
+        }
+        if let Some(ms) = term_after {
+            self.end_while_starting(gateway, ms);
+        }
+        let spawned_at = stamp();
+        self.current[gateway] = self.record.processes.len();
+        self.record
+            .processes
+            .push(new_process(gateway, spawned_at, None));
+        match self.fleet.start_gateway(gateway) {
+            Ok(()) => {
+                self.record.processes[self.current[gateway]].ready_at = Some(stamp());
+                self.frontend.open(gateway);
+            }
+            Err(error) => self.crash(gateway, &error),
+        }
+    }
+
+    fn end_while_starting(&mut self, gateway: usize, after_ms: u64) {
+        let spawned_at = stamp();
+        if let Err(error) = self.fleet.spawn_gateway(gateway) {
+            self.crash(gateway, &error);
+            return;
+        }
+        thread::sleep(Duration::from_millis(after_ms));
+        let mut process = new_process(gateway, spawned_at, None);
+        process.terminated_at = Some(stamp());
+        self.fleet.signal(gateway, Signal::TERM);
+        let until = Instant::now() + END_WHILE_STARTING;
+        let status = loop {
+            if let Some(status) = self.fleet.try_wait(gateway) {
+                break Some(status);
+            }
+            if Instant::now() > until {
+                break None;
+            }
+            thread::sleep(TICK);
+        };
+        process.ended_at = Some(stamp());
+        let Some(status) = status else {
+            self.fleet.kill(gateway);
+            process.end = Some(ProcessEnd::KilledAfterTerm);
+            self.record.processes.push(process);
+            return;
+        };
+        if status.signal() == Some(Signal::TERM.as_raw()) {
+            self.record.ended_before_handler += 1;
+            return;
+        }
+        process.end = Some(ProcessEnd::Exited(status.code()));
+        self.record.processes.push(process);
+    }
+
+    /// Ends all gateways as a planned restart does.
+    fn end_all(&mut self) {
+        for step in std::mem::take(&mut self.steps) {
+            if !matches!(step.step, Step::Begin(_) | Step::Reload { .. }) {
+                self.carry_out(step.step);
+            }
+        }
+        for gateway in 0..self.current.len() {
+            self.begin_restart(Restart {
+                gateway,
+                new_connections_for: 0,
+                signals: Vec::new(),
+                starts_at_once: false,
+                term_while_starting: None,
+            });
+        }
+        let until = Instant::now() + self.kill_after;
+        while Instant::now() < until && (0..self.current.len()).any(|g| self.fleet.is_up(g)) {
+            for gateway in 0..self.current.len() {
+                if let Some(status) = self.fleet.try_wait(gateway) {
+                    self.record_end(gateway, ProcessEnd::Exited(status.code()));
+                }
+            }
+            thread::sleep(TICK);
+        }
+        for gateway in 0..self.current.len() {
+            if self.fleet.is_up(gateway) {
+                self.fleet.kill(gateway);
+                self.record_end(gateway, ProcessEnd::KilledAfterTerm);
+            }
+        }
+    }
+}
+
+fn new_process(gateway: usize, spawned_at: u64, ready_at: Option<u64>) -> Process {
+    Process {
+        gateway,
+        spawned_at,
+        ready_at,
+        terminated_at: None,
+        ended_at: None,
+        end: None,
+        descriptors: 0,
+        resident_bytes: 0,
+    }
+}
--- a/crates/ivypitch-testbed/src/processes/clients.rs
+++ b/crates/ivypitch-testbed/src/processes/clients.rs
@@ -14,7 +14,7 @@
 use smol::{LocalExecutor, Timer};
 
 use super::engine::stamp;
-use crate::processes::sockets::{Reply, Session, holdoff_ms};
+use crate::processes::session::{Reply, Session, first_column, holdoff_ms};
 
 /// One statement of the traffic.
 #[derive(Clone, Debug)]
@@ -219,8 +219,3 @@
         })
     }
 }
-
-fn first_column(row: &[u8]) -> String {
-    let length = row.first().map_or(0, |&n| usize::from(n));
-    String::from_utf8_lossy(row.get(1..1 + length).unwrap_or_default()).into_owned()
-}
--- a/crates/ivypitch-testbed/src/processes/journal.rs
+++ b/crates/ivypitch-testbed/src/processes/journal.rs
@@ -34,6 +34,17 @@
         Ok(Journal { address, events })
     }
 
+    /// All events so far, as a configuration holds them.
+    pub fn known(&self) -> String {
+        let events = lock(&self.events);
+        let entries: Vec<&str> = events.iter().map(|event| event.trim_end()).collect();
+        format!(
+            r#"{{"pos":{},"entries":[{}]}}"#,
+            events.len(),
+            entries.join(",")
+        )
+    }
+
     /// Another event: these rows have changed.
     pub fn tell(&self, rows: &[String]) {
         let mut events = lock(&self.events);
--- a/crates/ivypitch-testbed/src/processes/mod.rs
+++ b/crates/ivypitch-testbed/src/processes/mod.rs
@@ -8,6 +8,8 @@
 pub mod hollow_engines;
 pub mod journal;
 pub mod relay;
+pub mod restarts;
+pub(crate) mod session;
 pub mod simulated_gateways;
 pub mod sockets;
 pub mod story;
@@ -111,11 +113,15 @@
     pub address: SocketAddr,
     pub peers_at: SocketAddr,
     config: PathBuf,
+    /// The configuration, where it was written anew.
+    whole_config: String,
     own: Option<PathBuf>,
     /// Each engine as this gateway reaches it.
     engines_at: Vec<SocketAddr>,
     /// Each gateway has a journal service of its own, since it reaches the engines by its own ways.
     journal: Journal,
+    /// Where this gateway reaches its journal service.
+    journal_at: SocketAddr,
     child: Option<Child>,
     /// The lines of all its processes.
     pub log: Seen<String>,
@@ -405,16 +411,34 @@
             address,
             peers_at: peers_at[g],
             config: path,
+            whole_config: String::new(),
             own,
             engines_at,
             journal,
+            journal_at,
             child: None,
             log,
             stopped: false,
         })
     }
 
+    /// Starts its process and waits until that serves.
     pub fn start_gateway(&mut self, g: usize) -> Result<(), String> {
+        let is_started =
+            |line: &String| line.contains("gateway started") || line.contains("ERROR listen");
+        let begun = self.seats[g]
+            .log
+            .all()
+            .iter()
+            .filter(|l| is_started(l))
+            .count();
+        self.spawn_gateway(g)?;
+        self.seats[g].log.wait_for("start", begun + 1, is_started);
+        Ok(())
+    }
+
+    /// Starts its process.
+    pub fn spawn_gateway(&mut self, g: usize) -> Result<(), String> {
         let seat = &mut self.seats[g];
         let mut command = Command::new(program());
         command
@@ -434,11 +458,6 @@
             .take()
             .map(|stderr| BufReader::new(stderr).lines());
         let log = seat.log.clone();
-        let begun = log
-            .all()
-            .iter()
-            .filter(|line| line.contains("gateway started"))
-            .count();
         thread::spawn(move || {
             lines
                 .into_iter()
@@ -447,10 +466,6 @@
                 .for_each(|line| log.push(line));
         });
         seat.child = Some(child);
-        let count = begun + 1;
-        seat.log.wait_for("start", count, |line| {
-            line.contains("gateway started") || line.contains("ERROR listen")
-        });
         Ok(())
     }
 
--- /dev/null
+++ b/crates/ivypitch-testbed/src/processes/session.rs
@@ -0,0 +1,172 @@
+//! A client's session with a gateway over a socket: login, statements, and what a client may do besides.
+
+use std::io;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use ivypitch_gateway::actors::socket::{read_now, read_some};
+use ivypitch_gateway::wire::mysql;
+use smol::io::AsyncWriteExt;
+use smol::{Async, Timer};
+
+use crate::stand_ins::{login, query};
+
+const MAX_PACKET_BYTES: usize = 1 << 20;
+/// Pause between the pieces of a message that is written slowly.
+const PIECE_PAUSE: Duration = Duration::from_millis(3);
+const END_OF_ROWS_BYTES: usize = 9;
+
+/// One logged-in connection.
+pub(crate) struct Session {
+    stream: Async<TcpStream>,
+    input: BytesMut,
+    /// The connection id of the greeting.
+    pub connection: u32,
+    /// When it was opened or its last statement ended.
+    pub used_at: Instant,
+}
+
+/// The answer to a statement as a client reads it.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) enum Reply {
+    /// The payloads of its rows.
+    Rows(Vec<Bytes>),
+    /// An error's code and its text.
+    Error(u16, String),
+}
+
+impl Session {
+    /// Connects and logs in.
+    pub async fn open(address: SocketAddr) -> io::Result<Session> {
+        let mut session = Session::greeted(address).await?;
+        session.write(&login("app")).await?;
+        session.logged_in().await?;
+        Ok(session)
+    }
+
+    /// Connects, and sends the login together with the first statement.
+    pub async fn open_with(address: SocketAddr, text: &str) -> io::Result<Session> {
+        let session = Session::greeted(address).await?;
+        session.write(&[login("app"), query(text)].concat()).await?;
+        Ok(session)
+    }
+
+    async fn greeted(address: SocketAddr) -> io::Result<Session> {
+        let stream = Async::<TcpStream>::connect(address).await?;
+        stream.get_ref().set_nodelay(true)?;
+        let mut session = Session {
+            stream,
+            input: BytesMut::new(),
+            connection: 0,
+            used_at: Instant::now(),
+        };
+        let greeting = session.packet().await?;
+        session.connection =
+            connection_id(&greeting).ok_or(io::Error::from(io::ErrorKind::ConnectionRefused))?;
+        Ok(session)
+    }
+
+    /// Reads the answer to the login.
+    pub async fn logged_in(&mut self) -> io::Result<()> {
+        match self.packet().await?.first() {
+            Some(0) => Ok(()),
+            _ => Err(io::ErrorKind::ConnectionRefused.into()),
+        }
+    }
+
+    /// The gateway has closed it, as far as can be seen now.
+    pub fn is_closed(&mut self) -> bool {
+        matches!(
+            read_now(&self.stream, &mut self.input),
+            Ok(Some(0)) | Err(_)
+        )
+    }
+
+    /// Ends it as a client that leaves.
+    pub fn close(&self) {
+        // It may be closed already.
+        let _ = self.stream.get_ref().shutdown(Shutdown::Both);
+    }
+
+    pub async fn write(&self, bytes: &[u8]) -> io::Result<()> {
+        (&self.stream).write_all(bytes).await
+    }
+
+    /// Writes a message in so many pieces, with a pause between them.
+    pub async fn write_in_pieces(&self, bytes: &[u8], pieces: usize) -> io::Result<()> {
+        for piece in bytes.chunks(bytes.len().div_ceil(pieces.max(1)).max(1)) {
+            self.write(piece).await?;
+            Timer::after(PIECE_PAUSE).await;
+        }
+        Ok(())
+    }
+
+    async fn packet(&mut self) -> io::Result<Bytes> {
+        loop {
+            let bad = |_| io::Error::from(io::ErrorKind::InvalidData);
+            if let Some(packet) =
+                mysql::next_packet(&mut self.input, MAX_PACKET_BYTES).map_err(bad)?
+            {
+                return Ok(packet.payload);
+            }
+            if read_some(&self.stream, &mut self.input).await? == 0 {
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    /// Sends a statement and reads its answer.
+    pub async fn reply(&mut self, text: &str) -> io::Result<Reply> {
+        self.write(&query(text)).await?;
+        self.answer().await
+    }
+
+    /// Reads the answer to the statement that was sent last; OK reads as no rows.
+    pub async fn answer(&mut self) -> io::Result<Reply> {
+        let mut rows = Vec::new();
+        let mut ends = 0;
+        loop {
+            let payload = self.packet().await?;
+            match payload.first() {
+                Some(0xff) if payload.len() >= 3 => {
+                    let code = u16::from_le_bytes([payload[1], payload[2]]);
+                    let text = String::from_utf8_lossy(&payload[3..]).into_owned();
+                    return Ok(Reply::Error(code, text));
+                }
+                Some(0) if ends == 0 => return Ok(Reply::Rows(rows)),
+                Some(0xfe) if payload.len() < END_OF_ROWS_BYTES => {
+                    ends += 1;
+                    if ends == 2 {
+                        return Ok(Reply::Rows(rows));
+                    }
+                }
+                _ if ends == 1 => rows.push(payload),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Behind the protocol version and the server's, which ends with a zero.
+fn connection_id(greeting: &[u8]) -> Option<u32> {
+    let is_greeting = greeting.first() == Some(&10);
+    let version_end = greeting.iter().position(|&byte| byte == 0)?;
+    let id = greeting.get(version_end + 1..version_end + 5)?;
+    let id = u32::from_le_bytes(id.try_into().ok()?);
+    is_greeting.then_some(id)
+}
+
+/// The first column of a row.
+pub(crate) fn first_column(row: &[u8]) -> String {
+    let length = row.first().map_or(0, |&length| usize::from(length));
+    String::from_utf8_lossy(row.get(1..1 + length).unwrap_or_default()).into_owned()
+}
+
+/// When a refused client is to come back, in milliseconds; 0 where it is not told.
+pub(crate) fn holdoff_ms(text: &str) -> u64 {
+    text.split("holdoff=")
+        .nth(1)
+        .and_then(|n| n.trim().parse().ok())
+        .unwrap_or(0)
+}
--- a/crates/ivypitch-testbed/src/processes/sockets.rs
+++ b/crates/ivypitch-testbed/src/processes/sockets.rs
@@ -11,7 +11,6 @@
 use bytes::{Buf, BytesMut};
 use event_listener::Event;
 use ivypitch_gateway::actors::socket::read_some;
-use ivypitch_gateway::wire::mysql;
 use ivypitch_scheduler::Idempotency;
 use ivypitch_types::{Nanos, SECOND};
 use rand::SeedableRng;
@@ -22,7 +21,8 @@
 
 use crate::figures::{Figures, TeamFigures};
 use crate::log_lines;
-use crate::stand_ins::{login, query, spawn_with};
+use crate::processes::session::{Reply, Session, holdoff_ms};
+use crate::stand_ins::spawn_with;
 use crate::virtual_time::engine::{Ended, Engine, Model, Query};
 use crate::virtual_time::traffic::{Statement, Work};
 
@@ -357,20 +357,6 @@
 
 // ---- clients ----
 
-pub(crate) struct Session {
-    stream: Async<TcpStream>,
-    input: BytesMut,
-    used: Instant,
-}
-
-/// The answer to a statement as a client reads it.
-#[derive(Clone, Debug, PartialEq)]
-pub(crate) enum Reply {
-    /// The payloads of its rows.
-    Rows(Vec<bytes::Bytes>),
-    Error(u16, String),
-}
-
 enum Answered {
     Rows,
     /// Refused; when to come back.
@@ -378,75 +364,12 @@
     Failed,
 }
 
-impl Session {
-    pub async fn open(address: SocketAddr) -> io::Result<Session> {
-        let stream = Async::<TcpStream>::connect(address).await?;
-        stream.get_ref().set_nodelay(true)?;
-        let mut session = Session {
-            stream,
-            input: BytesMut::new(),
-            used: Instant::now(),
-        };
-        (&session.stream).write_all(&login("app")).await?;
-        session.packet().await?;
-        match session.packet().await?.first() {
-            Some(0) => Ok(session),
-            _ => Err(io::ErrorKind::ConnectionRefused.into()),
-        }
-    }
-
-    async fn packet(&mut self) -> io::Result<bytes::Bytes> {
-        loop {
-            let bad = |_| io::Error::from(io::ErrorKind::InvalidData);
-            if let Some(packet) = mysql::next_packet(&mut self.input, LARGEST).map_err(bad)? {
-                return Ok(packet.payload);
-            }
-            if read_some(&self.stream, &mut self.input).await? == 0 {
-                return Err(io::ErrorKind::UnexpectedEof.into());
-            }
-        }
-    }
-
-    async fn ask(&mut self, text: &str) -> io::Result<Answered> {
-        Ok(match self.reply(text).await? {
-            Reply::Rows(_) => Answered::Rows,
-            Reply::Error(1040 | 1203 | 1226, text) => Answered::Refused(holdoff_ms(&text) * MS),
-            Reply::Error(..) => Answered::Failed,
-        })
-    }
-
-    pub async fn reply(&mut self, text: &str) -> io::Result<Reply> {
-        (&self.stream).write_all(&query(text)).await?;
-        let (mut rows, mut ends) = (Vec::new(), 0);
-        loop {
-            let payload = self.packet().await?;
-            match payload.first() {
-                Some(0xff) if payload.len() >= 3 => {
-                    let code = u16::from_le_bytes([payload[1], payload[2]]);
-                    return Ok(Reply::Error(
-                        code,
-                        String::from_utf8_lossy(&payload[3..]).into_owned(),
-                    ));
-                }
-                Some(0xfe) if payload.len() < 9 => {
-                    ends += 1;
-                    if ends == 2 {
-                        return Ok(Reply::Rows(rows));
-                    }
-                }
-                _ if ends == 1 => rows.push(payload),
-                _ => {}
-            }
-        }
-    }
-}
-
-/// When a refused client is to come back, in milliseconds; 0 where it is not told.
-pub(crate) fn holdoff_ms(text: &str) -> u64 {
-    text.split("holdoff=")
-        .nth(1)
-        .and_then(|n| n.trim().parse().ok())
-        .unwrap_or(0)
+async fn ask(session: &mut Session, text: &str) -> io::Result<Answered> {
+    Ok(match session.reply(text).await? {
+        Reply::Rows(_) => Answered::Rows,
+        Reply::Error(1040 | 1203 | 1226, text) => Answered::Refused(holdoff_ms(&text) * MS),
+        Reply::Error(..) => Answered::Failed,
+    })
 }
 
 #[derive(Clone, Copy, Default)]
@@ -511,7 +434,7 @@
         let work = &self.shared.works[asked.workload];
         let kept = {
             let mut idle = self.idle.borrow_mut();
-            idle[asked.team].retain(|session| session.used.elapsed() < IDLE);
+            idle[asked.team].retain(|session| session.used_at.elapsed() < IDLE);
             idle[asked.team].pop()
         };
         let was_kept = kept.is_some();
@@ -527,15 +450,15 @@
             asked.told_work * 1000.0,
             asked.group
         );
-        let answered = match session.ask(&text).await {
+        let answered = match ask(&mut session, &text).await {
             // It crossed the close of a connection that had been idle: once more, on a new one.
             Err(_) if was_kept => {
                 session = Session::open(self.address).await?;
-                session.ask(&text).await?
+                ask(&mut session, &text).await?
             }
             answered => answered?,
         };
-        session.used = Instant::now();
+        session.used_at = Instant::now();
         let mut idle = self.idle.borrow_mut();
         if !self.new_connections && idle[asked.team].len() < KEPT {
             idle[asked.team].push(session);
