Take the names of absent log events from the code that writes them

Cause: two tests check that a line is absent, by a text of their own: renamed, they would pass whatever happens. Change: the two events have their names in log_events.rs, used by the code and by the tests.

--- a/crates/ivypitch-cli/tests/races.rs
+++ b/crates/ivypitch-cli/tests/races.rs
@@ -6,6 +6,7 @@
 use std::net::{Shutdown, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
+use ivypitch_gateway::log_events::ACCEPT_FAILED;
 use ivypitch_testbed::log_lines::is_event;
 use ivypitch_testbed::stand_ins::*;
 use test_case::test_case;
@@ -855,7 +856,7 @@
             .log
             .all()
             .iter()
-            .all(|l| !l.contains("accept failed")),
+            .all(|l| !is_event(l, ACCEPT_FAILED, &[])),
         "descriptors were never short"
     );
 }
--- a/crates/ivypitch-cli/tests/takeover.rs
+++ b/crates/ivypitch-cli/tests/takeover.rs
@@ -5,6 +5,7 @@
 use std::net::{TcpStream, UdpSocket};
 use std::time::Instant;
 
+use ivypitch_gateway::log_events::MEMBER_LOST;
 use ivypitch_ownership::{VERSION, VoterAssignment};
 use ivypitch_testbed::log_lines::is_event;
 use ivypitch_testbed::processes::relay::End;
@@ -103,7 +104,7 @@
 
     fn wait_lost(&self, at: usize, lost: usize) {
         self.fleet.seats[at].log.wait("loss", |l| {
-            is_event(l, "member is lost", &[("member", &format!("n{lost}"))])
+            is_event(l, MEMBER_LOST, &[("member", &format!("n{lost}"))])
         });
     }
 }
@@ -847,7 +848,7 @@
     s.fleet.kill(2);
     s.fleet.seats[0]
         .log
-        .wait_for("losses", 2, |l| l.contains("member is lost"));
+        .wait_for("losses", 2, |l| is_event(l, MEMBER_LOST, &[]));
     assert_eq!(s.client(0).ask(&statement("load", 3, LONGEST)).code(), 1105);
     assert_eq!(s.held.starts(3), 0);
     // What is harmless goes on.
@@ -934,7 +935,7 @@
         (1, 1)
     );
     assert!(
-        !all.iter().any(|l| l.contains("member is lost")),
+        !all.iter().any(|l| is_event(l, MEMBER_LOST, &[])),
         "the real n1 stays"
     );
 }
--- a/crates/ivypitch-gateway/src/actors/peer_links/datagrams.rs
+++ b/crates/ivypitch-gateway/src/actors/peer_links/datagrams.rs
@@ -13,6 +13,7 @@
 use super::PROTOCOL_VERSION;
 use super::context::PeerContext;
 use super::messages::{GossipReceipt, PeerEvent};
+use crate::log_events::MEMBER_LOST;
 use crate::wire::peer_frames::{PeerDatagram, decode_datagram, encode_gossip};
 
 /// Longer datagrams are cut off and then not understood.
@@ -138,7 +139,7 @@
         let members = self.context.members.len();
         log::warn!(
             member, reachable, members;
-            "member is lost"
+            "{MEMBER_LOST}"
         );
         self.context
             .notify_scheduler(PeerEvent::MemberDown(process));
--- a/crates/ivypitch-gateway/src/lifecycle/accept.rs
+++ b/crates/ivypitch-gateway/src/lifecycle/accept.rs
@@ -13,6 +13,7 @@
 use super::Phase;
 use super::startup::StartupError;
 use crate::actors::session::Sessions;
+use crate::log_events::ACCEPT_FAILED;
 
 /// Connections that the system holds until they are accepted: a second of a busy day's new ones. The library asks for
 /// 128, which a burst of new connections overflows within 0.1 s.
@@ -94,7 +95,7 @@
             Err(e) => {
                 // Descriptors or memory are short for a moment, or the client has gone already.
                 if !is_failing {
-                    log::warn!(error:% = e; "accept failed");
+                    log::warn!(error:% = e; "{ACCEPT_FAILED}");
                 }
                 is_failing = true;
                 Timer::after(ACCEPT_RETRY_INTERVAL).await;
--- a/crates/ivypitch-testbed/src/processes/mod.rs
+++ b/crates/ivypitch-testbed/src/processes/mod.rs
@@ -31,6 +31,7 @@
 use child::LabProcess;
 use engine::stamp;
 use hollow_engines::Park;
+use ivypitch_gateway::log_events::MEMBER_LOST;
 use journal::Journal;
 use relay::{End, Net};
 use simulated_gateways::SimulatedGateways;
@@ -342,7 +343,7 @@
             .log
             .all()
             .iter()
-            .filter(|line| is_event(line, "member is lost", &[]))
+            .filter(|line| is_event(line, MEMBER_LOST, &[]))
             .count() as u64;
         Some(Sample {
             usage,
