Say of a gateway-loss run that shows nothing that it does

Change: such a run is reported as showing nothing, with an exit code of its own; bounds on what is broken stay.

--- a/crates/ivypitch-testbed/src/command.rs
+++ b/crates/ivypitch-testbed/src/command.rs
@@ -5,8 +5,12 @@
 
 use clap::{Args, Subcommand};
 
+use crate::report::Report;
 use crate::{demo, experiments};
 
+/// Exit code of a run that shows nothing.
+const SHOWS_NOTHING: u8 = 2;
+
 #[derive(Args)]
 pub struct Testbed {
     #[command(subcommand)]
@@ -17,7 +21,7 @@
 enum What {
     /// Name the experiments.
     List,
-    /// Play an experiment; exits 0 where all its bounds hold.
+    /// Play an experiment; exits 0 where all its bounds hold, 2 where they do and the run shows nothing.
     #[command(
         after_help = "Example: ivypitch testbed run team-flood --quick --seed 7 --report /tmp/flood"
     )]
@@ -80,7 +84,9 @@
         let mut failed = 0;
         for seed in first..first + self.seeds {
             let report = (experiment.run)(self.quick, seed);
-            if report.holds() {
+            if let Some(why) = report.shows_nothing.as_ref().filter(|_| report.holds()) {
+                println!("seed {seed} shows nothing: {why}");
+            } else if report.holds() {
                 println!("seed {seed} holds: {}", report.notes.join("; "));
             } else {
                 failed += 1;
@@ -126,10 +132,15 @@
             eprintln!("report not written: {e}");
             return ExitCode::FAILURE;
         }
-        if report.holds() {
-            ExitCode::SUCCESS
-        } else {
-            ExitCode::FAILURE
-        }
+        exit_code(&report)
+    }
+}
+
+/// A run that broke no bound and shows nothing is told apart from a pass.
+fn exit_code(report: &Report) -> ExitCode {
+    match (report.holds(), &report.shows_nothing) {
+        (false, _) => ExitCode::FAILURE,
+        (true, Some(_)) => ExitCode::from(SHOWS_NOTHING),
+        (true, None) => ExitCode::SUCCESS,
     }
 }
--- a/crates/ivypitch-testbed/src/experiments/gateway_loss.rs
+++ b/crates/ivypitch-testbed/src/experiments/gateway_loss.rs
@@ -204,15 +204,17 @@
     bound(
         "running at a loss and come back for",
         with.caught as f64,
-        1.0,
+        0.0,
         f64::MAX,
     );
-    bound(
-        "of these completed without running again",
-        with.carried as f64 / with.caught.max(1) as f64,
-        0.95,
-        1.0,
-    );
+    if with.caught > 0 {
+        bound(
+            "of these completed without running again",
+            with.carried as f64 / with.caught as f64,
+            0.95,
+            1.0,
+        );
+    }
     bound(
         "rolled: statements that ran again",
         roll.again as f64,
@@ -259,5 +261,9 @@
         f64::MAX,
     );
     bound("without peers: service", off.service(), 0.0, f64::MAX);
+    if with.caught == 0 {
+        let why = "the plan has no statement that ran at a loss and was come back for";
+        report.shows_nothing = Some(why.to_owned());
+    }
     report
 }
--- a/crates/ivypitch-testbed/src/report.rs
+++ b/crates/ivypitch-testbed/src/report.rs
@@ -49,6 +49,8 @@
     pub seed: u64,
     pub runs: Vec<Run>,
     pub bounds: Vec<Bound>,
+    /// Why the run shows nothing, where it does not: it is neither a pass nor a failure then.
+    pub shows_nothing: Option<String>,
     /// Lines that stand before the bounds.
     pub notes: Vec<String>,
     pub plots: Vec<Plot>,
@@ -64,6 +66,7 @@
             seed,
             runs: Vec::new(),
             bounds: Vec::new(),
+            shows_nothing: None,
             notes: Vec::new(),
             plots: Vec::new(),
             files: Vec::new(),
@@ -147,6 +150,9 @@
         for note in &self.notes {
             let _ = writeln!(text, "{note}");
         }
+        if let Some(why) = &self.shows_nothing {
+            let _ = writeln!(text, "SHOWS NOTHING  {why}");
+        }
         for bound in &self.bounds {
             let holds = match bound.holds() {
                 _ if bound.told_only() => "told ",
