--- a/crates/ivypitch-cli/tests/takeover.rs
+++ b/crates/ivypitch-cli/tests/takeover.rs
@@ -90,18 +90,6 @@
         client
     }
 
-    /// The answer to a client that comes back as long as it hears that nobody can say: as fast as the fleet finds out.
-    fn known(&self, g: usize, req: u64) -> Answer {
-        let until = Instant::now() + PATIENCE;
-        loop {
-            let answer = self.client(g).ask(&statement("load", req, LONGEST));
-            if answer.code() != 1105 {
-                return answer;
-            }
-            assert!(Instant::now() < until, "{answer:?}");
-        }
-    }
-
     fn wait_lost(&self, at: usize, lost: usize) {
         self.fleet.seats[at].log.wait("loss", |l| {
             is_event(l, MEMBER_LOST, &[("member", &format!("n{lost}"))])
@@ -520,10 +508,9 @@
     s.running(0, 1);
     s.fleet.kill(0);
     s.fleet.start_gateway(0).unwrap();
-    // The new process has forgotten all, and is asked first. One that does not hear a majority within a second says that
-    // it can't know; its client comes back.
+    // The new process has forgotten all, and is asked first.
     thread::scope(|scope| {
-        let back = scope.spawn(|| s.known(0, 1));
+        let back = scope.spawn(|| s.client(0).ask(&statement("load", 1, LONGEST)));
         s.held.wait_ask(1, 0, &[0]);
         s.held.end(1);
         assert_eq!(back.join().unwrap(), rows(1));
@@ -575,10 +562,7 @@
     thread::scope(|scope| {
         let back = |&g: &usize| {
             let (s, req) = (&s, 1 + g as u64);
-            scope.spawn(move || match can_be_known(g) {
-                true => s.known(10 + g, req),
-                false => s.client(10 + g).ask(&statement("load", req, LONGEST)),
-            })
+            scope.spawn(move || s.client(10 + g).ask(&statement("load", req, LONGEST)))
         };
         let back: Vec<_> = lost.iter().map(back).collect();
         for req in lost
