Ask the voters before a load's clients hear that nobody can say

Callers at a gateway that had been stopped heard 1105 of a load whose rows another gateway had taken over. Cause: it asked the engine alone, which knew nothing any more. Change: an attempt that may have run and whose end is not known is looked up once at the voters, within the statement's time, before its clients hear so.

--- a/crates/ivypitch-cli/tests/takeover.rs
+++ b/crates/ivypitch-cli/tests/takeover.rs
@@ -825,6 +825,45 @@
     assert_eq!(s.held.starts(1), 1);
 }
 
+/// Guards against "may have run" of a load whose rows the fleet has, from a gateway that was stopped and wakes.
+#[test_case(true; "a client that came while it was stopped")]
+#[test_case(false; "a client that comes as it wakes")]
+fn a_gateway_that_was_stopped_asks_the_others_again(came_before: bool) {
+    let mut s = scene(5).voting();
+    let mut first = s.running(0, 1);
+    s.held.end(1);
+    assert_eq!(first.answer(1), rows(1));
+    let mut back = s.client(2);
+    let text = query(&statement("load", 1, LONGEST));
+    s.fleet.stop(2);
+    s.wait_lost(1, 2);
+    if came_before {
+        back.send(&text);
+    }
+    s.fleet.go_on(2);
+    if !came_before {
+        back.send(&text);
+    }
+    assert_eq!(back.answer(1), rows(1));
+    assert_eq!(s.held.starts(1), 1);
+}
+
+/// Guards against "may have run" of a load that another gateway has taken over and ended, from the one that had started it.
+#[test]
+fn a_gateway_that_was_stopped_with_a_load_hears_what_became_of_it() {
+    let mut s = scene(5).voting();
+    let mut first = s.running(0, 1);
+    s.fleet.stop(0);
+    s.held.wait_ask(1, 0, &[0]);
+    s.held.end(1);
+    assert_eq!(s.client(1).ask(&statement("load", 1, LONGEST)), rows(1));
+    // The engine knows nothing of it any more; the gateway that took it over has the rows.
+    s.held.forget();
+    s.fleet.go_on(0);
+    assert_eq!(first.answer(1), rows(1));
+    assert_eq!(s.held.starts(1), 1);
+}
+
 #[test]
 fn a_gateway_without_peers_sends_no_load_that_another_might_have_sent() {
     let mut s = scene(3).voting();
--- a/crates/ivypitch-ownership/src/completion.rs
+++ b/crates/ivypitch-ownership/src/completion.rs
@@ -41,6 +41,9 @@
             FinalAnswer::Rejected { retry_after_ms } if !is_idempotent && has_other_voters => {
                 self.defer_rejection(now, id, retry_after_ms, out)
             }
+            FinalAnswer::Aborted if self.may_be_known_elsewhere(now, id) => {
+                self.look_up_before_abort(now, id, out)
+            }
             _ => {
                 self.end_statement(now, id, answer, out);
                 None
@@ -89,6 +92,40 @@
         }
     }
 
+    /// Its attempt may have run, and another gateway may have taken it over while this one was stopped or not heard.
+    fn may_be_known_elsewhere(&self, now: Nanos, id: StatementId) -> bool {
+        self.statements.get(id).is_some_and(|statement| {
+            !statement.spec.idempotent
+                && statement.may_have_run()
+                && !statement.lookup.is_before_abort
+                && now < statement.deadline
+        })
+    }
+
+    /// Asks the voters before clients are told that nobody can say. Returns the client that submitted the statement.
+    fn look_up_before_abort(
+        &mut self,
+        now: Nanos,
+        id: StatementId,
+        out: &mut dyn Output,
+    ) -> Option<u64> {
+        let candidates = self.lookup_candidates(id);
+        let statement = self.statements.get_mut(id)?;
+        let submitter = statement.submitter;
+        statement.submitter_waits();
+        statement.pending_grant = None;
+        statement.lookup.candidates = candidates;
+        statement.lookup.is_before_abort = true;
+        self.statements.transition(id, StatementState::LookingUp);
+        self.ask_next_voter(now, id, out);
+        submitter
+    }
+
+    /// No voter knows more of an attempt that this gateway can't say the end of.
+    pub(crate) fn abort_after_lookup(&mut self, now: Nanos, id: StatementId, out: &mut dyn Output) {
+        self.end_statement(now, id, FinalAnswer::Aborted, out);
+    }
+
     /// Seals the statement before its rejection is answered. Returns the client that submitted it.
     fn defer_rejection(
         &mut self,
--- a/crates/ivypitch-ownership/src/lookup.rs
+++ b/crates/ivypitch-ownership/src/lookup.rs
@@ -79,6 +79,10 @@
         let Some(statement) = self.statements.get(id) else {
             return;
         };
+        if statement.lookup.is_before_abort {
+            self.abort_after_lookup(now, id, out);
+            return;
+        }
         if statement.waiters.is_empty() && statement.submitter.is_none() {
             self.statements.transition(id, StatementState::Closed);
             return;
@@ -183,6 +187,12 @@
             self.follow(now, id, member, out);
             return;
         }
+        if statement.lookup.is_before_abort {
+            // The voter knows no later owner than this gateway.
+            self.statements.transition(id, StatementState::LookingUp);
+            self.ask_next_voter(now, id, out);
+            return;
+        }
         // That member is lost and the voter does not know yet: it is asked again, after the others.
         if statement.state() == StatementState::LookingUp && now < statement.deadline {
             statement.tries += 1;
--- a/crates/ivypitch-ownership/src/statement.rs
+++ b/crates/ivypitch-ownership/src/statement.rs
@@ -60,11 +60,11 @@
         };
         match (self, to) {
             (from, to) if from == to => true,
-            (LookingUp, Owned | OwnedElsewhere | Orphaned | Closed) => true,
+            (LookingUp, Owned | OwnedElsewhere | Orphaned | Closed | Unknown) => true,
             (Owned, Replicated) => true,
             (
                 Owned | Replicated | TakenOver,
-                OwnedElsewhere | Orphaned | Cached | Delivered | Closed | Unknown,
+                LookingUp | OwnedElsewhere | Orphaned | Cached | Delivered | Closed | Unknown,
             ) => true,
             (Orphaned, TakingOver | OwnedElsewhere | Closed) => true,
             (TakingOver, Owned | TakenOver | OwnedElsewhere | Cached | Closed | Unknown) => true,
@@ -101,6 +101,8 @@
     pub(crate) asked: MemberId,
     /// Of the last request, if there was one.
     pub(crate) request_id: Option<u64>,
+    /// This gateway can't say how its own attempt ended: where no voter knows more, its clients are told so.
+    pub(crate) is_before_abort: bool,
 }
 
 /// Collecting votes to act for the statement.
@@ -163,6 +165,7 @@
                 candidates: Vec::new(),
                 asked: epoch.process.member,
                 request_id: None,
+                is_before_abort: false,
             },
             takeover: TakeoverProgress::default(),
             tries: 0,
