--- a/crates/ivypitch-ownership/tests/single_gateway/late_votes.rs
+++ b/crates/ivypitch-ownership/tests/single_gateway/late_votes.rs
@@ -18,11 +18,11 @@
 }
 
 fn requested_grant(out: &Recorder) -> AttemptGrant {
-    let requests = out.sent.iter().filter_map(|(_, message)| match message {
+    let mut requests = out.sent.iter().filter_map(|(_, message)| match message {
         Message::GrantRequest { grant, .. } => Some(*grant),
         _ => None,
     });
-    requests.last().expect("voters are asked")
+    requests.next_back().expect("voters are asked")
 }
 
 fn vote(ownership: &mut Ownership, now: Nanos, voter: u16, out: &mut Recorder) {
--- a/crates/ivypitch-testbed/src/experiments/soak/plan.rs
+++ b/crates/ivypitch-testbed/src/experiments/soak/plan.rs
@@ -122,8 +122,8 @@
     /// Every second seed has peers, every third a crowd.
     pub fn draw(size: SoakSize, seed: u64) -> SoakPlan {
         let mut rng = ChaCha8Rng::seed_from_u64(seed ^ 0x50a4);
-        let has_peers = seed % 2 == 0;
-        let has_crowd = seed % 3 == 0;
+        let has_peers = seed.is_multiple_of(2);
+        let has_crowd = seed.is_multiple_of(3);
         // A watch that is silent learns of a drain late, as it may: a run has the one or the other.
         let has_drains = rng.random_bool(0.5);
         let mut operations = Vec::new();
