Split the takeover tests by situation, and reserve ports among programs of the testbed

Change: a module a situation, tests moved without a change but for where two constants stand; free_port keeps a socket on 127.0.0.2 for each port that it gives out until its program ends, so that no other program of the testbed gives out the same.

--- /dev/null
+++ b/crates/ivypitch-cli/tests/takeover/answers.rs
@@ -0,0 +1,100 @@
+//! What clients hear of statements that another gateway knows.
+
+use std::thread;
+use std::time::Instant;
+
+use ivypitch_ownership::VoterAssignment;
+use ivypitch_testbed::processes::Engines;
+use ivypitch_testbed::processes::Fleet;
+use ivypitch_testbed::processes::Setup;
+use ivypitch_testbed::stand_ins::*;
+
+use crate::scene::*;
+
+#[test]
+fn a_refusal_is_told_only_where_no_other_gateway_has_sent_it() {
+    let unasked = PEERS.replace("\"asks_from_ms\":0", "\"asks_from_ms\":100000");
+    let s = scene_of(7, &unasked).voting();
+    // The second gateway bears no witness of it and does not ask.
+    let (req, _) = id_where(7, |all| !all.contains(&1));
+    s.running(0, req);
+    // Its client's connection breaks; the gateway that it comes to has no engine left, and would refuse.
+    s.fleet.tell_state_to(1, 0, "terminating");
+    for other in (1 << 32) + 8000.. {
+        if s.client(1).ask(&statement("lookup", other, LONGEST)).code() == 1203 {
+            break;
+        }
+    }
+    let mut back = s.sent(1, "load", req);
+    s.held.wait_ask(req, 0, &[0]);
+    s.held.end(req);
+    assert_eq!(back.answer(1), rows(req));
+    assert_eq!(s.held.starts(req), 1);
+    // One that nobody has sent is refused, with the word that it did not run.
+    assert_eq!(
+        s.client(1).ask(&statement("load", 9999, LONGEST)).code(),
+        1203
+    );
+    assert_eq!(s.held.starts(9999), 0);
+}
+
+/// Guards against a client that hears of a load that is over only once its own time has ended.
+#[test]
+fn a_load_that_is_over_is_answered_at_once_where_its_votes_tell_so() {
+    let unasked = PEERS.replace("\"asks_from_ms\":0", "\"asks_from_ms\":100000");
+    let s = scene_of(7, &unasked).voting();
+    let witnesses = VoterAssignment::new((0..7).map(|g| g % 3).collect(), 5);
+    // The second gateway is no voter of these and does not ask before it starts them.
+    let is_unknown_to_second = |&id: &u64| !voters_of(&witnesses, id).contains(&1);
+    s.held.fail_starts(true);
+    for id in (1..1000).filter(is_unknown_to_second).take(5) {
+        let failed = s.client(0).ask(&statement("load", id, LONGEST));
+        assert_eq!(failed.code(), 1105, "{failed:?}");
+        // Until its voters have heard of the end.
+        thread::sleep(std::time::Duration::from_millis(100));
+        let began = Instant::now();
+        let again = s.client(1).ask(&statement("load", id, LONGEST));
+        assert_eq!(again.code(), 1105, "{again:?}");
+        let took = began.elapsed();
+        assert!(took.as_millis() < u128::from(LONGEST / 2), "{took:?}");
+        assert_eq!(s.held.starts(id), 1);
+    }
+}
+
+/// Guards against a KILL that finds nothing, since the statement's client waits for another gateway.
+#[test]
+fn a_kill_finds_a_client_that_waits_for_another_gateways_answer() {
+    let s = scene(5).voting();
+    let _first = s.running(0, 1);
+    let mut back = s.sent(1, "load", 1);
+    let kill = format!("KILL QUERY {}", back.connection);
+    assert_eq!(s.client(1).ask(&kill), Answer::Rows(vec![]));
+    assert_eq!(back.answer(1).code(), 1317);
+    assert_eq!(s.held.starts(1), 1);
+}
+
+/// Guards against "refused" of a load that ran, from a gateway that has no room to look it up.
+#[test]
+fn where_too_many_statements_are_open_a_load_may_have_run() {
+    const CLIENTS: u64 = 21;
+    let held = Held::start(3);
+    let fleet = Fleet::start(Setup {
+        gateways: 3,
+        engines: Engines::At(vec![held.addresses.clone()]),
+        peers: Some(PEERS.to_owned()),
+        longest_ms: LONGEST,
+        settings: |config| config.replace("\"sockets\":1024", "\"sockets\":64"),
+        ..Setup::default()
+    });
+    let fleet = fleet.unwrap();
+    let s = Scene { fleet, held }.voting();
+    let mut first = s.running(0, 1);
+    s.held.end(1);
+    assert_eq!(first.answer(1), rows(1));
+    // So many wait here for the end of what another gateway runs.
+    let _runs = s.running(0, 2);
+    let open: Vec<Client> = (0..CLIENTS).map(|_| s.sent(1, "load", 2)).collect();
+    open.iter().for_each(|client| is_read(&client.stream));
+    let answer = s.client(1).ask(&statement("load", 1, LONGEST));
+    assert_eq!(answer.code(), 1105, "{answer:?}");
+}
--- a/crates/ivypitch-testbed/src/processes/mod.rs
+++ b/crates/ivypitch-testbed/src/processes/mod.rs
@@ -7,6 +7,7 @@
 pub mod engine;
 pub mod hollow_engines;
 pub mod journal;
+pub mod ports;
 pub mod relay;
 pub mod restarts;
 pub(crate) mod session;
@@ -16,10 +17,10 @@
 pub mod usage;
 
 use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, ChildStdin, Command, Stdio};
-use std::sync::atomic::{AtomicU16, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -33,6 +34,7 @@
 use hollow_engines::Park;
 use ivypitch_gateway::log_events::MEMBER_LOST;
 use journal::Journal;
+use ports::free_port;
 use relay::{End, Net};
 use simulated_gateways::SimulatedGateways;
 use usage::{Engines as EngineCounts, Own, Sample, Usage};
@@ -152,20 +154,6 @@
     pub crashes: Vec<String>,
 }
 
-/// Below the ports that the system gives to outgoing connections, so that none of those takes one while a process is
-/// away.
-fn free_port() -> SocketAddr {
-    static NEXT: AtomicU16 = AtomicU16::new(0);
-    loop {
-        let place = NEXT.fetch_add(1, Ordering::Relaxed);
-        let port = 18_000 + (std::process::id() as u16 % 97 * 131 + place) % 14_000;
-        let address = SocketAddr::from(([127, 0, 0, 1], port));
-        if TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok() {
-            return address;
-        }
-    }
-}
-
 pub fn row(id: &str, address: SocketAddr, zone: usize, state: &str) -> String {
     format!(
         r#"{{"id":"{id}","addr":"{address}","zone":"z{zone}","kind":"std","cell":0,"state":"{state}","weight":1,"started_ms":0}}"#
