--- a/review/standins/standins.rs
+++ b/review/standins/standins.rs
@@ -328,6 +328,25 @@
         (greeting.first() == Some(&10) && ok.first() == Some(&0)).then_some(client)
     }
 
+    /// Connects and writes login and first query before the greeting has been read.
+    pub fn connect_and_send(address: SocketAddr, text: &str) -> Option<Client> {
+        let mut stream = TcpStream::connect_timeout(&address, Duration::from_secs(2)).ok()?;
+        stream.set_nodelay(true).ok()?;
+        let query = packet(0, &[&[3], text.as_bytes()].concat());
+        stream.write_all(&[login(), query].concat()).ok()?;
+        Some(Client { stream })
+    }
+
+    /// Reads the greeting, the answer to the login and that to the first query.
+    pub fn read_first_answer(&mut self) -> Answer {
+        match (self.read_packet(), self.read_packet()) {
+            (Some((_, greeting)), Some((_, ok))) if greeting.first() == Some(&10) && ok.first() == Some(&0) => {
+                self.read_answer()
+            }
+            _ => Answer::None,
+        }
+    }
+
     pub fn ping(&mut self) -> bool {
         let is_sent = self.stream.write_all(&packet(0, &[0x0e])).is_ok();
         is_sent && self.read_packet().is_some_and(|(_, payload)| payload.first() == Some(&0))
