--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -23,7 +23,7 @@
  "registry-mode":"pushed"}"#;
 
 const CLIENTS: u64 = 8;
-const BAD_CLIENTS: u64 = 24;
+const BAD_CLIENTS: u64 = 40;
 /// Length of a bad client's statement; the gateway reads messages of up to 62,137 bytes with these limits.
 const BAD_BYTES: usize = 60_000;
 const CALM_MS: u64 = 5_000;
