Accept a result's page only once what follows proves its length

Cause: a response was complete as soon as Content-Length bytes had come. A length that is too small and ends behind a row leaves a valid page; the gateway looked for further bytes once, in that moment, and the rest of the body comes in a later segment. Start, poll and further pages had the fault alike (EngineClient::exchange, Rows::push_page).

Evidence: in the case's record each wrong result follows an answer whose length ends behind a row or is 0.

Why it works: bytes of a connection keep their order, so a response that begins directly behind the body proves the length, however late anything comes; so does the end of a stream whose close was announced. The last page is held back until then (state/result_pages.rs, no I/O) and fetched again if its connection is lost. The next page's response proves the one before, a repeat of the first page the last one; on a reused connection it replaces the repeat that was asked for there already.

A response with 1xx in front keeps its connection for the attempt, not for others.

--- a/crates/ivypitch-gateway/src/actors/attempt/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/attempt/mod.rs
@@ -131,7 +131,7 @@
             Ok(response) => response,
             Err(end) => return end,
         };
-        match self.confirm_end(response).await {
+        match self.confirm_failure(response).await {
             Ok(response) => self.poll_until_end(response).await,
             Err(end) => end,
         }
--- a/crates/ivypitch-gateway/src/actors/attempt/polling.rs
+++ b/crates/ivypitch-gateway/src/actors/attempt/polling.rs
@@ -12,36 +12,43 @@
 use crate::actors::engine_connection::{CallError, EngineConnection};
 use crate::actors::messages::{AttemptEnd, AttemptMessage, SchedulerMessage};
 use crate::state::connections::ConnectPurpose;
+use crate::state::result_pages::ConnectionUse;
 use crate::wire::http::{self, Response, status};
 
 /// Page of a running statement's progress, and of the first rows once the statement completed.
 const PROGRESS_PAGE: usize = 0;
 
 /// The first event while an attempt waited for a response.
-pub(super) enum PollOutcome {
+enum PollOutcome {
     Response(Response),
     Error(CallError),
     Message(AttemptMessage),
 }
 
 impl AttemptRun<'_> {
-    /// Confirms a final response on a reused connection, where it may belong to an earlier
-    /// statement: the engine has to repeat it. Returns `None` if it does not; the attempt is then
-    /// polled.
-    pub(super) async fn confirm_end(
+    /// Confirms a final response without a result on a reused connection, where it may belong to an
+    /// earlier statement: the engine has to repeat it. Returns `None` if it does not; the attempt is
+    /// then polled. A result is confirmed on every connection, as its pages are fetched.
+    pub(super) async fn confirm_failure(
         &mut self,
         response: Option<Response>,
     ) -> Result<Option<Response>, AttemptEnd> {
-        let connection = self.connection.as_ref();
-        let is_used = connection.is_some_and(EngineConnection::is_used);
+        let connection_use = self
+            .connection
+            .as_ref()
+            .map_or(ConnectionUse::First, EngineConnection::connection_use);
+        let is_reused = connection_use == ConnectionUse::Reused;
         let Some(end) = response
             .as_ref()
-            .filter(|response| is_used && response.status != status::RUNNING)
+            .filter(|response| is_reused && is_failure(response.status))
         else {
             return Ok(response);
         };
-        match self.poll(PROGRESS_PAGE, RESPONSE_TIMEOUT).await {
-            PollOutcome::Response(repeated) if is_same_final_response(end, &repeated) => {
+        match self.poll(RESPONSE_TIMEOUT).await {
+            // An engine that forgot the statement responds that it does not know it.
+            PollOutcome::Response(repeated)
+                if repeated.status == end.status || repeated.status == status::FAILED =>
+            {
                 Ok(response)
             }
             PollOutcome::Message(AttemptMessage::Cancel) => Err(self.cancel().await),
@@ -62,7 +69,7 @@
         let mut has_failed = !self.attempt.is_already_started;
         loop {
             if let Some(response) = &response
-                && let Some(end) = self.on_response(response).await
+                && let Some(end) = self.on_response(response, failures).await
             {
                 return end;
             }
@@ -87,7 +94,7 @@
     /// Polls once; the timeout grows with `failures`. Returns `None` without a complete response.
     async fn poll_progress(&mut self, failures: u32) -> Result<Option<Response>, AttemptEnd> {
         let timeout = POLL_TIMEOUT * (1 + failures);
-        match self.poll(PROGRESS_PAGE, timeout).await {
+        match self.poll(timeout).await {
             PollOutcome::Response(response) => Ok(Some(response)),
             PollOutcome::Error(CallError::ConnectionRefused) => {
                 Err(AttemptEnd::without_answer(Outcome::Reset))
@@ -110,18 +117,16 @@
 
     /// Handles the response to a start or a poll and returns the attempt's end, if it ended. A
     /// response that is neither progress nor an end counts as incomplete, and its connection is
-    /// closed.
-    async fn on_response(&mut self, response: &Response) -> Option<AttemptEnd> {
+    /// closed. `failures` counts the polls that failed in a row before.
+    async fn on_response(&mut self, response: &Response, failures: u32) -> Option<AttemptEnd> {
         match response.status {
             status::RUNNING => {
                 self.report_progress(response);
                 None
             }
-            status::FAILED | status::UNAVAILABLE | status::TIMED_OUT => {
-                Some(self.end(response, None))
-            }
+            status if is_failure(status) => Some(self.end(response, None)),
             _ => {
-                let completed = self.fetch_result(response).await;
+                let completed = self.fetch_result(response, failures).await;
                 if completed.is_none() {
                     self.connection = None;
                 }
@@ -164,10 +169,11 @@
         let _ = call.await;
     }
 
-    /// Requests the attempt's progress or end (page 0) or a further result page.
-    pub(super) async fn poll(&mut self, page: usize, timeout: Duration) -> PollOutcome {
+    /// Requests the attempt's progress or end.
+    async fn poll(&mut self, timeout: Duration) -> PollOutcome {
         let attempt = self.attempt;
-        let request = http::write_get(&attempt.start.statement_id, page, &self.engine.host());
+        let statement_id = &attempt.start.statement_id;
+        let request = http::write_get(statement_id, PROGRESS_PAGE, &self.engine.host());
         let slot = &mut self.connection;
         let call = self
             .engine
@@ -183,15 +189,10 @@
     }
 }
 
-/// Whether the engine repeated the final response. For a statement that failed or never ran, and is
-/// unknown to the engine, the repeated response is [`status::FAILED`].
-fn is_same_final_response(end: &Response, repeated: &Response) -> bool {
-    match end.status {
-        status::COMPLETED => {
-            repeated.status == status::COMPLETED
-                && end.page_count == repeated.page_count
-                && end.body == repeated.body
-        }
-        _ => repeated.status == end.status || repeated.status == status::FAILED,
-    }
+/// Whether the status reports the end of a statement without a result.
+fn is_failure(status: u16) -> bool {
+    matches!(
+        status,
+        status::FAILED | status::UNAVAILABLE | status::TIMED_OUT
+    )
 }
--- a/crates/ivypitch-gateway/src/actors/attempt/result.rs
+++ b/crates/ivypitch-gateway/src/actors/attempt/result.rs
@@ -1,16 +1,25 @@
 //! Conversion of a final response into an [`AttemptEnd`], and fetching the pages of a result.
 
 use async_io::Timer;
+use futures_lite::FutureExt;
 use ivypitch_types::Outcome;
 
-use super::polling::PollOutcome;
-use super::{AttemptRun, RETRY_BACKOFF};
+use super::{AttemptRun, RETRY_BACKOFF, Withdrawal};
 use crate::actors::engine_client::RESPONSE_TIMEOUT;
-use crate::actors::engine_connection::CallError;
-use crate::actors::messages::{AttemptEnd, AttemptMessage, MeasuredCost};
+use crate::actors::engine_connection::{CallError, EngineConnection};
+use crate::actors::messages::{AttemptEnd, MeasuredCost};
+use crate::state::connections::ConnectPurpose;
+use crate::state::result_pages::{ConnectionUse, ResultError, ResultPages, ResultStep};
 use crate::state::rows::Rows;
 use crate::wire::http::{self, Response, status};
 
+/// The first event after a page was requested.
+enum PageOutcome {
+    Response(Response),
+    Error(CallError),
+    Withdrawn(Withdrawal),
+}
+
 impl AttemptRun<'_> {
     /// Converts the final response into the attempt's end. `rows` is the complete result, if there
     /// is one.
@@ -33,64 +42,83 @@
         }
     }
 
-    /// Fetches the result that begins with `response` and returns the attempt's end. Returns `None`
-    /// if `response` is not the first page of a result.
-    pub(super) async fn fetch_result(&mut self, response: &Response) -> Option<AttemptEnd> {
-        let first = first_page(response)?;
-        let page_count = response.page_count.unwrap_or(1);
-        Some(match self.fetch_pages(first, page_count).await {
-            Ok(rows) => self.end(response, Some(rows)),
-            Err(end) => end,
-        })
-    }
-
-    /// Fetches the pages after the first. A page that is incomplete or does not belong to the
-    /// result is requested again.
-    async fn fetch_pages(&mut self, mut rows: Rows, page_count: usize) -> Result<Rows, AttemptEnd> {
-        let mut failures = 0;
-        while rows.page_count() < page_count {
-            let number = rows.page_count();
-            let timeout = RESPONSE_TIMEOUT * (1 + failures);
-            match self.poll(number, timeout).await {
-                PollOutcome::Response(page) if page.status == status::FAILED => {
-                    return Err(self.end(&page, None));
+    /// Fetches the result that begins with `end` and returns the attempt's end. Returns `None` if
+    /// `end` is not the first page of a result, or was not confirmed as complete: the attempt is to
+    /// be polled. Timeouts grow with `failures`, the polls that failed in a row before.
+    pub(super) async fn fetch_result(
+        &mut self,
+        end: &Response,
+        mut failures: u32,
+    ) -> Option<AttemptEnd> {
+        let mut result = ResultPages::begin(end).ok()?;
+        loop {
+            let connection = self.connection.take().filter(EngineConnection::is_clean);
+            if connection.is_none() && result.on_connection_lost() {
+                self.engine.record_unconfirmed_page();
+            }
+            let page = match result.next_step() {
+                ResultStep::Request(page) => page,
+                ResultStep::Restart => return None,
+                ResultStep::Complete => {
+                    self.connection = connection;
+                    return Some(self.end(end, Some(result.into_rows())));
                 }
-                PollOutcome::Response(page) if push_page(&mut rows, number, &page) => failures = 0,
-                PollOutcome::Error(CallError::ConnectionRefused) => {
-                    return Err(AttemptEnd::without_answer(Outcome::Reset));
+            };
+            let connection_use = connection
+                .as_ref()
+                .map_or(ConnectionUse::First, EngineConnection::connection_use);
+            match self.request_page(page, connection, failures).await {
+                PageOutcome::Response(response) => {
+                    match result.on_response(&response, connection_use) {
+                        // The timeout stays: a slow engine needs it for the next page too.
+                        Ok(()) => {}
+                        Err(ResultError::PageLost) => return Some(self.end(&response, None)),
+                        Err(_) => self.on_page_failure(&mut failures).await,
+                    }
                 }
-                PollOutcome::Message(AttemptMessage::Cancel) => return Err(self.cancel().await),
-                PollOutcome::Message(AttemptMessage::Detach) => {
-                    return Err(AttemptEnd::without_answer(Outcome::Cancelled));
+                PageOutcome::Error(CallError::ConnectionRefused) => {
+                    return Some(AttemptEnd::without_answer(Outcome::Reset));
                 }
-                PollOutcome::Message(AttemptMessage::Priority(_)) => {}
-                PollOutcome::Response(_) | PollOutcome::Error(_) => {
-                    self.connection = None;
-                    failures += 1;
-                    if failures > 1 {
-                        Timer::after(RETRY_BACKOFF).await;
-                    }
+                PageOutcome::Error(_) => self.on_page_failure(&mut failures).await,
+                PageOutcome::Withdrawn(Withdrawal::Cancelled) => return Some(self.cancel().await),
+                PageOutcome::Withdrawn(Withdrawal::Detached) => {
+                    return Some(AttemptEnd::without_answer(Outcome::Cancelled));
                 }
             }
         }
-        Ok(rows)
     }
-}
 
-/// Appends a page and returns true if `page` has this number and holds rows.
-fn push_page(rows: &mut Rows, number: usize, page: &Response) -> bool {
-    page.page == Some(number) && rows.push_page(page.body.clone()).is_ok()
-}
+    /// Closes the connection of a page that did not arrive, and waits before the next retry.
+    async fn on_page_failure(&mut self, failures: &mut u32) {
+        self.connection = None;
+        *failures += 1;
+        if *failures > 1 {
+            Timer::after(RETRY_BACKOFF).await;
+        }
+    }
 
-/// Parses the first page of a completed result; `None` if `response` is something else.
-fn first_page(response: &Response) -> Option<Rows> {
-    let is_first = response.status == status::COMPLETED
-        && response.page_count.is_some()
-        && matches!(response.page, None | Some(0));
-    if !is_first {
-        return None;
+    /// Requests a page of a result on `connection`, or on another if there is none. The timeout
+    /// grows with `failures`. A change of the priority no longer matters.
+    async fn request_page(
+        &mut self,
+        page: usize,
+        connection: Option<EngineConnection>,
+        failures: u32,
+    ) -> PageOutcome {
+        let attempt = self.attempt;
+        let request = http::write_get(&attempt.start.statement_id, page, &self.engine.host());
+        let timeout = RESPONSE_TIMEOUT * (1 + failures);
+        let slot = &mut self.connection;
+        let call = self
+            .engine
+            .call_on(connection, slot, &request, timeout, ConnectPurpose::Poll);
+        let responded = async {
+            match call.await {
+                Ok(response) => PageOutcome::Response(response),
+                Err(error) => PageOutcome::Error(error),
+            }
+        };
+        let withdrawn = async { PageOutcome::Withdrawn(attempt.wait_for_withdrawal().await) };
+        responded.or(withdrawn).await
     }
-    let mut rows = Rows::default();
-    rows.push_page(response.body.clone()).ok()?;
-    Some(rows)
 }
--- a/crates/ivypitch-gateway/src/actors/engine_client.rs
+++ b/crates/ivypitch-gateway/src/actors/engine_client.rs
@@ -4,7 +4,8 @@
 //! connection is probed before reuse with a poll for the statement that is about to start: only the
 //! response that the engine does not know it proves that the connection is open and clean. A final
 //! response that follows at once has to be repeated (see [`super::attempt`]), so that a late
-//! response is never taken for the response to another statement.
+//! response is never taken for the response to another statement. On any connection, a page of a
+//! result counts only once what follows proves its length (see [`crate::state::result_pages`]).
 
 use std::cell::{Cell, RefCell};
 use std::io::{self, ErrorKind};
@@ -21,6 +22,7 @@
 use crate::lifecycle::clock::Clock;
 use crate::state::connections::{ConnectPurpose, ConnectionCounters};
 use crate::state::permits::ConnectionPermits;
+use crate::state::result_pages::ConnectionUse;
 use crate::state::traffic::Traffic;
 use crate::wire::http::{self, Response, status};
 
@@ -134,7 +136,10 @@
 
     /// Releases the connection of an attempt that has ended: it becomes idle or closes.
     pub(crate) fn release(&self, connection: Option<EngineConnection>) {
-        let Some(mut connection) = connection.filter(EngineConnection::is_clean) else {
+        let is_reusable = |connection: &EngineConnection| {
+            connection.is_clean() && !connection.had_informational_response()
+        };
+        let Some(mut connection) = connection.filter(is_reusable) else {
             return;
         };
         connection.mark_used();
@@ -203,7 +208,22 @@
         timeout: Duration,
         purpose: ConnectPurpose,
     ) -> Result<Response, CallError> {
-        let connection = match slot.take().filter(EngineConnection::is_clean) {
+        let connection = slot.take().filter(EngineConnection::is_clean);
+        self.call_on(connection, slot, request, timeout, purpose)
+            .await
+    }
+
+    /// Calls the engine on `connection`, or on another if there is none. The connection is put into
+    /// `slot` as by [`Self::call`].
+    pub(crate) async fn call_on(
+        &self,
+        connection: Option<EngineConnection>,
+        slot: &mut Option<EngineConnection>,
+        request: &[u8],
+        timeout: Duration,
+        purpose: ConnectPurpose,
+    ) -> Result<Response, CallError> {
+        let connection = match connection {
             Some(connection) => connection,
             None => self.connection_for_call(purpose).await?,
         };
@@ -224,7 +244,8 @@
     }
 
     /// Sends a request on this connection, its first byte without any wait, and reads the response.
-    /// The connection is put into `slot` if it can be reused.
+    /// The connection is put into `slot` if the attempt can call on it again. A completed response
+    /// that closes its connection is returned only if the end of the stream follows it.
     pub(crate) async fn exchange(
         &self,
         mut connection: EngineConnection,
@@ -232,35 +253,51 @@
         request: &[u8],
         timeout: Duration,
     ) -> Result<Response, CallError> {
+        let timeout = timeout.min(MAX_RESPONSE_TIMEOUT);
         connection.write(request).await?;
-        let response = match connection.response(timeout.min(MAX_RESPONSE_TIMEOUT)).await {
+        let response = match connection.response(timeout).await {
             Ok(response) => response,
             Err(error) => {
                 self.on_unexpected_input();
                 return Err(error);
             }
         };
+        let is_completed = response.status == status::COMPLETED;
         match connection.unread_input() {
-            UnreadInput::Nothing if !response.closes_connection => {
+            UnreadInput::Nothing | UnreadInput::Closed if response.closes_connection => {
+                // On a used connection the response may be an earlier statement's.
+                let is_confirmed = connection.connection_use() == ConnectionUse::First
+                    && connection.ends_within(timeout).await;
+                if is_completed && !is_confirmed {
+                    self.on_unexpected_input();
+                    return Err(CallError::NoResponse);
+                }
+            }
+            UnreadInput::Nothing => {
                 if connection.had_informational_response() {
                     self.on_unexpected_input();
                 } else {
                     self.pool.borrow_mut().on_exact_answer();
-                    *slot = Some(connection);
                 }
+                *slot = Some(connection);
             }
             UnreadInput::Bytes => {
                 self.on_unexpected_input();
                 // The extra bytes may be the rest of a result with a wrong content length.
-                if response.status == status::COMPLETED {
+                if is_completed {
                     return Err(CallError::NoResponse);
                 }
             }
-            _ => {}
+            UnreadInput::Closed => {}
         }
         Ok(response)
     }
 
+    /// Counts a page that is fetched again because nothing confirmed its length.
+    pub(crate) fn record_unconfirmed_page(&self) {
+        self.connects.record_unconfirmed_page();
+    }
+
     /// Handles missing, unexpected or extra input: closes all idle connections; for a while no
     /// connection is kept open.
     fn on_unexpected_input(&self) {
--- a/crates/ivypitch-gateway/src/actors/engine_connection.rs
+++ b/crates/ivypitch-gateway/src/actors/engine_connection.rs
@@ -11,6 +11,7 @@
 
 use super::socket::read_some;
 use crate::state::permits::ConnectionPermit;
+use crate::state::result_pages::ConnectionUse;
 use crate::state::traffic::Traffic;
 use crate::wire::http::{self, Response};
 
@@ -48,7 +49,7 @@
     stream: Async<TcpStream>,
     address: SocketAddr,
     input: BytesMut,
-    is_used: bool,
+    connection_use: ConnectionUse,
     had_informational_response: bool,
     traffic: Rc<Traffic>,
     _permit: ConnectionPermit,
@@ -66,7 +67,7 @@
             stream,
             address,
             input: BytesMut::new(),
-            is_used: false,
+            connection_use: ConnectionUse::First,
             had_informational_response: false,
             traffic,
             _permit: permit,
@@ -79,13 +80,13 @@
     }
 
     /// Whether the connection has served another statement before.
-    pub(crate) fn is_used(&self) -> bool {
-        self.is_used
+    pub(crate) fn connection_use(&self) -> ConnectionUse {
+        self.connection_use
     }
 
     /// Marks the connection as one that has served a statement.
     pub(crate) fn mark_used(&mut self) {
-        self.is_used = true;
+        self.connection_use = ConnectionUse::Reused;
     }
 
     /// Whether an unrequested 1xx response arrived on the connection.
@@ -108,6 +109,20 @@
         self.unread_input() == UnreadInput::Nothing
     }
 
+    /// Waits for the end of the stream, for at most `timeout`. Returns false if it does not come, or
+    /// input precedes it.
+    pub(crate) async fn ends_within(&mut self, timeout: Duration) -> bool {
+        let ended = async {
+            let read = read_some(&self.stream, &mut self.input).await;
+            matches!(read, Ok(0)) && self.input.is_empty()
+        };
+        let timed_out = async {
+            Timer::after(timeout).await;
+            false
+        };
+        ended.or(timed_out).await
+    }
+
     /// Sends a request.
     pub(crate) async fn write(&mut self, request: &[u8]) -> Result<(), CallError> {
         (&self.stream)
--- a/crates/ivypitch-gateway/src/state/connections.rs
+++ b/crates/ivypitch-gateway/src/state/connections.rs
@@ -26,6 +26,7 @@
     timed_out: Cell<u64>,
     reused: Cell<u64>,
     discarded: Cell<u64>,
+    unconfirmed_pages: Cell<u64>,
 }
 
 impl ConnectionCounters {
@@ -34,7 +35,8 @@
         log::info!(
             starts = self.starts.get(), polls = self.polls.get(), cancels = self.cancels.get(),
             priorities = self.priorities.get(), refused = self.refused.get(),
-            timed_out = self.timed_out.get(), reused = self.reused.get(), discarded = self.discarded.get();
+            timed_out = self.timed_out.get(), reused = self.reused.get(), discarded = self.discarded.get(),
+            unconfirmed_pages = self.unconfirmed_pages.get();
             "engine connection totals"
         );
     }
@@ -69,6 +71,11 @@
     pub fn record_discarded(&self) {
         increment(&self.discarded);
     }
+
+    /// Counts a page that is fetched again because nothing confirmed its length.
+    pub fn record_unconfirmed_page(&self) {
+        increment(&self.unconfirmed_pages);
+    }
 }
 
 fn increment(counter: &Cell<u64>) {
--- a/crates/ivypitch-gateway/src/state/mod.rs
+++ b/crates/ivypitch-gateway/src/state/mod.rs
@@ -3,6 +3,7 @@
 pub mod connections;
 pub mod engines;
 pub mod permits;
+pub mod result_pages;
 pub mod rows;
 pub mod sessions;
 pub mod statements;
--- a/crates/ivypitch-gateway/src/state/rows.rs
+++ b/crates/ivypitch-gateway/src/state/rows.rs
@@ -53,6 +53,18 @@
         Ok(())
     }
 
+    /// Removes the last page, if there is one.
+    pub fn pop_page(&mut self) {
+        if let Some(page) = self.pages.pop() {
+            self.bytes -= page.len();
+        }
+    }
+
+    /// The first page, if there is one.
+    pub fn first_page(&self) -> Option<&Bytes> {
+        self.pages.first()
+    }
+
     /// The number of pages appended.
     pub fn page_count(&self) -> usize {
         self.pages.len()
--- a/crates/ivypitch-testbed/src/test_servers.rs
+++ b/crates/ivypitch-testbed/src/test_servers.rs
@@ -105,6 +105,8 @@
 /// Reaction of a fake engine to a call.
 pub enum Reply {
     Response(String),
+    /// Sends this and closes the connection.
+    LastResponse(String),
     /// Sends nothing and keeps the connection open.
     NoResponse,
     /// Closes the connection without a response.
@@ -173,6 +175,10 @@
                             Reply::Response(text) => {
                                 writer.write_all(text.as_bytes()).unwrap_or_default()
                             }
+                            Reply::LastResponse(text) => {
+                                writer.write_all(text.as_bytes()).unwrap_or_default();
+                                break;
+                            }
                             Reply::NoResponse => {}
                             Reply::Close => break,
                         }
