Bound the fields ahead of a statement, so that reading them stays cheap

Cause: fields::parse compared each name with all before it, and only the length of the message bounded their number. One thread runs all sessions, polls and timers, so each of their turns waited for one such message of each bad client.

The number of fields is bounded in tests/wire/fields.rs.

--- a/crates/ivypitch-gateway/src/wire/fields.rs
+++ b/crates/ivypitch-gateway/src/wire/fields.rs
@@ -24,6 +24,9 @@
     pub(super) const IS_REPEAT: &[u8] = b"resent";
 }
 
+/// Maximum number of fields of a statement, unknown ones included. It bounds the search for
+/// duplicates, whatever the length of the comment.
+const MAX_FIELDS: usize = 64;
 const STATEMENT_ID_DIGITS: usize = 16;
 /// Upper bound of a statement's times: one day.
 const MAX_MS: f64 = 86_400_000.0;
@@ -72,6 +75,9 @@
     /// A field has no `=`.
     #[error("a field has no value")]
     NoValue,
+    /// The comment has more than [`MAX_FIELDS`] fields.
+    #[error("more than {MAX_FIELDS} fields stand ahead of the statement")]
+    TooMany,
     /// Two fields have the same name.
     #[error("a field stands twice")]
     Duplicate,
@@ -113,6 +119,9 @@
             return Err(FieldsError::NoValue);
         };
         let (name, value) = (&field[..equals], &field[equals + 1..]);
+        if seen.len() == MAX_FIELDS {
+            return Err(FieldsError::TooMany);
+        }
         if seen.contains(&name) {
             return Err(FieldsError::Duplicate);
         }
--- a/crates/ivypitch-gateway/tests/wire/fields.rs
+++ b/crates/ivypitch-gateway/tests/wire/fields.rs
@@ -1,7 +1,7 @@
 //! The fields in the comment before a statement, and the statement's table group.
 
 use bytes::Bytes;
-use ivypitch_gateway::wire::fields;
+use ivypitch_gateway::wire::fields::{self, FieldsError};
 use ivypitch_gateway::wire::table_group::find_table_group;
 use test_case::test_case;
 
@@ -42,6 +42,17 @@
     assert_eq!(sent, text.replace("1500", "700"));
 }
 
+/// Guards against comments whose cost grows with the square of the number of their fields.
+#[test_case(61, None; "as many fields as may be")]
+#[test_case(62, Some(FieldsError::TooMany); "one more")]
+#[test_case(13_000, Some(FieldsError::TooMany); "as many as a message holds")]
+fn the_number_of_fields_is_bounded(unknown: usize, expected: Option<FieldsError>) {
+    let more: String = (0..unknown).map(|n| format!(",x{n}=")).collect();
+    let known = "kind=report,req=9b1f03aa5c7e2d41,timeout=1500";
+    let text = format!("/* {known}{more} */ SELECT day FROM sales_17.orders");
+    assert_eq!(fields::parse(&Bytes::from(text)).err(), expected);
+}
+
 #[test_case("INSERT INTO sales_17.orders SELECT * FROM staging.orders", Some(17); "staging after")]
 #[test_case("INSERT INTO x SELECT * FROM STAGING.a_1 JOIN sales_2.b", Some(2); "staging first")]
 #[test_case("SELECT 'it''s sales_1.a', \"sales_2.b\", 'x\\' sales_3.c' FROM `sales_4`.`orders`", Some(4); "quotes")]
