Search each byte of a discovery line for its end only once

Nobody reported it: found on looking for other input whose reading costs more than in proportion to its length. A list of 5.9 MB (some 44,000 engines) held the thread that serves all statements for 1.5 to 1.9 s, and a line that takes 2 s counts as silence.

Cause: a line comes in pieces of 8 KB, and DiscoveryActor searched it from its first byte with each piece.

Why it works: LineBuffer keeps the length of what was searched already, so the cost grows with the length.

--- a/crates/ivypitch-gateway/src/actors/discovery.rs
+++ b/crates/ivypitch-gateway/src/actors/discovery.rs
@@ -20,6 +20,7 @@
 use crate::lifecycle::clock::Clock;
 use crate::state::traffic::Traffic;
 use crate::wire::discovery::{self, Line, WatchEvent};
+use crate::wire::lines::LineBuffer;
 
 /// The discovery service sends a line at least once a second; a connection without one for this
 /// time counts as dead.
@@ -234,17 +235,18 @@
         let request = discovery::watch_request(self.actor.last_position());
         (&stream).write_all(request.as_bytes()).await?;
         self.actor.traffic.journal.record_sent(request.len());
-        let mut input = BytesMut::new();
+        let mut lines = LineBuffer::default();
         let mut silence_deadline = Instant::now() + SILENCE_TIMEOUT;
         loop {
-            while let Some(end) = input.iter().position(|&byte| byte == b'\n') {
-                self.on_line(&input.split_to(end + 1))?;
+            while let Some(line) = lines.next_line() {
+                self.on_line(&line)?;
                 silence_deadline = Instant::now() + SILENCE_TIMEOUT;
             }
-            if input.len() > self.actor.max_line_bytes {
+            if lines.len() > self.actor.max_line_bytes {
                 return Err(WatchError::LineTooLong);
             }
-            self.read(&stream, &mut input, silence_deadline).await?;
+            self.read(&stream, lines.input_mut(), silence_deadline)
+                .await?;
         }
     }
 
--- a/crates/ivypitch-gateway/src/wire/mod.rs
+++ b/crates/ivypitch-gateway/src/wire/mod.rs
@@ -8,6 +8,7 @@
 pub mod fields;
 pub mod gateway_statements;
 pub mod http;
+pub mod lines;
 pub mod mysql;
 pub mod peer_frames;
 pub mod table_group;
