Allow a page as much time as the engine's responses take to arrive

Cause: the timeout of pages did not depend on how long the engine's responses take.

Why it works: the timeout is 100 ms and twice the time in which the last response on the connection arrived, so an engine of any pace gets in proportion.

An announced close is waited for only behind a completed response: others were answered later for nothing where the engine did not close at once (seen by reading).

--- a/crates/ivypitch-gateway/src/actors/attempt/result.rs
+++ b/crates/ivypitch-gateway/src/actors/attempt/result.rs
@@ -1,5 +1,7 @@
 //! Conversion of a final response into an [`AttemptEnd`], and fetching the pages of a result.
 
+use std::time::Duration;
+
 use async_io::Timer;
 use futures_lite::FutureExt;
 use ivypitch_types::Outcome;
@@ -13,6 +15,9 @@
 use crate::state::rows::Rows;
 use crate::wire::http::{self, Response, status};
 
+/// Allowance for a page, as a multiple of the time in which the response before it arrived.
+const TRANSFER_TIME_FACTOR: u32 = 2;
+
 /// The first event after a page was requested.
 enum PageOutcome {
     Response(Response),
@@ -98,7 +103,8 @@
     }
 
     /// Requests a page of a result on `connection`, or on another if there is none. The timeout
-    /// grows with `failures`. A change of the priority no longer matters.
+    /// grows with `failures`, and where the response before took long to arrive. A change of the
+    /// priority no longer matters.
     async fn request_page(
         &mut self,
         page: usize,
@@ -107,7 +113,11 @@
     ) -> PageOutcome {
         let attempt = self.attempt;
         let request = http::write_get(&attempt.start.statement_id, page, &self.engine.host());
-        let timeout = RESPONSE_TIMEOUT * (1 + failures);
+        let last_transfer_time = connection
+            .as_ref()
+            .map_or(Duration::ZERO, EngineConnection::transfer_time);
+        let timeout =
+            (RESPONSE_TIMEOUT + last_transfer_time * TRANSFER_TIME_FACTOR) * (1 + failures);
         let slot = &mut self.connection;
         let call = self
             .engine
--- a/crates/ivypitch-gateway/src/actors/engine_client.rs
+++ b/crates/ivypitch-gateway/src/actors/engine_client.rs
@@ -22,7 +22,6 @@
 use crate::lifecycle::clock::Clock;
 use crate::state::connections::{ConnectPurpose, ConnectionCounters};
 use crate::state::permits::ConnectionPermits;
-use crate::state::result_pages::ConnectionUse;
 use crate::state::traffic::Traffic;
 use crate::wire::http::{self, Response, status};
 
@@ -265,10 +264,7 @@
         let is_completed = response.status == status::COMPLETED;
         match connection.unread_input() {
             UnreadInput::Nothing | UnreadInput::Closed if response.closes_connection => {
-                // On a used connection the response may be an earlier statement's.
-                let is_confirmed = connection.connection_use() == ConnectionUse::First
-                    && connection.ends_within(timeout).await;
-                if is_completed && !is_confirmed {
+                if is_completed && !connection.confirms_by_close(timeout).await {
                     self.on_unexpected_input();
                     return Err(CallError::NoResponse);
                 }
--- a/crates/ivypitch-gateway/src/actors/engine_connection.rs
+++ b/crates/ivypitch-gateway/src/actors/engine_connection.rs
@@ -3,7 +3,7 @@
 use std::io::ErrorKind;
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use async_io::{Async, Timer};
 use bytes::BytesMut;
@@ -51,6 +51,8 @@
     input: BytesMut,
     connection_use: ConnectionUse,
     had_informational_response: bool,
+    /// Time from the first byte of the last response to its last.
+    transfer_time: Duration,
     traffic: Rc<Traffic>,
     _permit: ConnectionPermit,
 }
@@ -69,6 +71,7 @@
             input: BytesMut::new(),
             connection_use: ConnectionUse::First,
             had_informational_response: false,
+            transfer_time: Duration::ZERO,
             traffic,
             _permit: permit,
         }
@@ -94,6 +97,11 @@
         self.had_informational_response
     }
 
+    /// Time from the first byte of the last response to its last.
+    pub(crate) fn transfer_time(&self) -> Duration {
+        self.transfer_time
+    }
+
     /// Checks for unread input without reading it.
     pub(crate) fn unread_input(&self) -> UnreadInput {
         match self.stream.get_ref().peek(&mut [0]) {
@@ -109,9 +117,12 @@
         self.unread_input() == UnreadInput::Nothing
     }
 
-    /// Waits for the end of the stream, for at most `timeout`. Returns false if it does not come, or
-    /// input precedes it.
-    pub(crate) async fn ends_within(&mut self, timeout: Duration) -> bool {
+    /// Whether the end of the stream follows the last response within `timeout`, and thus confirms
+    /// its length. On a reused connection the response may be an earlier statement's.
+    pub(crate) async fn confirms_by_close(&mut self, timeout: Duration) -> bool {
+        if self.connection_use == ConnectionUse::Reused {
+            return false;
+        }
         let ended = async {
             let read = read_some(&self.stream, &mut self.input).await;
             matches!(read, Ok(0)) && self.input.is_empty()
@@ -144,9 +155,15 @@
 
     async fn next_response(&mut self) -> Result<Response, CallError> {
         let mut informational = 0;
+        let mut first_bytes_at = None;
         loop {
             match http::next_response(&mut self.input) {
-                Ok(Some(response)) if response.status >= 200 => return Ok(response),
+                Ok(Some(response)) if response.status >= 200 => {
+                    self.transfer_time = first_bytes_at
+                        .as_ref()
+                        .map_or(Duration::ZERO, Instant::elapsed);
+                    return Ok(response);
+                }
                 Ok(Some(_)) if informational < MAX_INFORMATIONAL_RESPONSES => {
                     informational += 1;
                     self.had_informational_response = true;
@@ -157,7 +174,10 @@
             }
             match read_some(&self.stream, &mut self.input).await {
                 Ok(0) | Err(_) => return Err(CallError::NoResponse),
-                Ok(byte_count) => self.traffic.engines.record_received(byte_count),
+                Ok(byte_count) => {
+                    first_bytes_at.get_or_insert_with(Instant::now);
+                    self.traffic.engines.record_received(byte_count);
+                }
             }
         }
     }
