Confirm a page by the end of its stream, or by its repeat behind a reset

Cause: a result whose connection closed or broke right behind it was fetched again over a new connection and confirmed there by a second call, each of which can break alike.

Why it works: the end of a stream directly behind the body proves the length as well as a further response does, whether or not the engine announced it: bytes of a connection keep their order. A reset proves nothing, since bytes on their way are lost with it; the same page received again on another connection does, unless something else than a response had followed the first. A connection closed between two calls no longer counts as unexpected input, which kept others from being reused.

--- a/crates/ivypitch-gateway/src/actors/attempt/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/attempt/mod.rs
@@ -14,6 +14,7 @@
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
+use bytes::Bytes;
 use ivypitch_scheduler::Scheduler;
 use ivypitch_types::{Nanos, Outcome};
 
@@ -79,6 +80,7 @@
             attempt: &self,
             engine: &engine,
             connection: None,
+            lost_first_page: None,
         };
         let end = run.run_to_end().await;
         run.release_connection(end.outcome);
@@ -116,8 +118,10 @@
 struct AttemptRun<'a> {
     attempt: &'a Attempt,
     engine: &'a EngineClient,
-    /// The connection of the last call, if it is reusable.
+    /// The connection of the last call, if nothing but a complete response arrived on it.
     connection: Option<EngineConnection>,
+    /// The first page of the result as it was received on a connection that broke then.
+    lost_first_page: Option<Bytes>,
 }
 
 impl AttemptRun<'_> {
--- a/crates/ivypitch-gateway/src/actors/attempt/result.rs
+++ b/crates/ivypitch-gateway/src/actors/attempt/result.rs
@@ -8,10 +8,12 @@
 
 use super::{AttemptRun, RETRY_BACKOFF, Withdrawal};
 use crate::actors::engine_client::RESPONSE_TIMEOUT;
-use crate::actors::engine_connection::{CallError, EngineConnection};
+use crate::actors::engine_connection::{CallError, EngineConnection, UnreadInput};
 use crate::actors::messages::{AttemptEnd, MeasuredCost};
 use crate::state::connections::ConnectPurpose;
-use crate::state::result_pages::{ConnectionUse, ResultError, ResultPages, ResultStep};
+use crate::state::result_pages::{
+    ConnectionLoss, ConnectionUse, ResultError, ResultPages, ResultStep,
+};
 use crate::state::rows::Rows;
 use crate::wire::http::{self, Response, status};
 
@@ -55,50 +57,86 @@
         end: &Response,
         mut failures: u32,
     ) -> Option<AttemptEnd> {
-        let mut result = ResultPages::begin(end).ok()?;
+        let mut result = ResultPages::begin(end, self.lost_first_page.take()).ok()?;
         loop {
-            let connection = self.connection.take().filter(EngineConnection::is_clean);
-            if connection.is_none() && result.on_connection_lost() {
-                self.engine.record_unconfirmed_page();
-            }
+            let connection = self.take_connection(&mut result);
             let page = match result.next_step() {
                 ResultStep::Request(page) => page,
-                ResultStep::Restart => return None,
+                ResultStep::Restart => {
+                    self.lost_first_page = result.take_lost_page();
+                    return None;
+                }
                 ResultStep::Complete => {
                     self.connection = connection;
                     return Some(self.end(end, Some(result.into_rows())));
                 }
             };
-            let connection_use = connection
-                .as_ref()
-                .map_or(ConnectionUse::First, EngineConnection::connection_use);
+            let connection_use = connection.as_ref().map(EngineConnection::connection_use);
             match self.request_page(page, connection, failures).await {
                 PageOutcome::Response(response) => {
+                    let connection_use = connection_use.unwrap_or(ConnectionUse::First);
                     match result.on_response(&response, connection_use) {
                         // The timeout stays: a slow engine needs it for the next page too.
-                        Ok(()) => {}
+                        Ok(()) => continue,
                         Err(ResultError::PageLost) => return Some(self.end(&response, None)),
-                        Err(_) => self.on_page_failure(&mut failures).await,
+                        Err(_) => self.drop_unconfirmed(&mut result, ConnectionLoss::Unusable),
                     }
                 }
                 PageOutcome::Error(CallError::ConnectionRefused) => {
                     return Some(AttemptEnd::without_answer(Outcome::Reset));
                 }
-                PageOutcome::Error(_) => self.on_page_failure(&mut failures).await,
+                PageOutcome::Error(error) => {
+                    self.on_page_error(&mut result, &error, connection_use);
+                }
                 PageOutcome::Withdrawn(Withdrawal::Cancelled) => return Some(self.cancel().await),
                 PageOutcome::Withdrawn(Withdrawal::Detached) => {
                     return Some(AttemptEnd::without_answer(Outcome::Cancelled));
                 }
             }
+            self.connection = None;
+            failures += 1;
+            if failures > 1 {
+                Timer::after(RETRY_BACKOFF).await;
+            }
+        }
+    }
+
+    /// Takes the connection of the last page if a call can be sent on it; otherwise its end decides
+    /// whether the last page is confirmed.
+    fn take_connection(&mut self, result: &mut ResultPages) -> Option<EngineConnection> {
+        let Some(connection) = self.connection.take() else {
+            self.drop_unconfirmed(result, ConnectionLoss::Unusable);
+            return None;
+        };
+        match connection.unread_input() {
+            UnreadInput::Nothing => return Some(connection),
+            UnreadInput::Closed => result.on_stream_ended(connection.connection_use()),
+            UnreadInput::Reset => self.drop_unconfirmed(result, ConnectionLoss::Reset),
+            UnreadInput::Bytes => self.drop_unconfirmed(result, ConnectionLoss::Unusable),
+        }
+        None
+    }
+
+    /// Handles a call without a response; `connection_use` is that of the last page's connection if
+    /// the call was sent on it.
+    fn on_page_error(
+        &self,
+        result: &mut ResultPages,
+        error: &CallError,
+        connection_use: Option<ConnectionUse>,
+    ) {
+        match (error, connection_use) {
+            (CallError::StreamEnded, Some(connection)) => result.on_stream_ended(connection),
+            (CallError::ConnectionReset | CallError::NotSent, _) => {
+                self.drop_unconfirmed(result, ConnectionLoss::Reset);
+            }
+            _ => self.drop_unconfirmed(result, ConnectionLoss::Unusable),
         }
     }
 
-    /// Closes the connection of a page that did not arrive, and waits before the next retry.
-    async fn on_page_failure(&mut self, failures: &mut u32) {
-        self.connection = None;
-        *failures += 1;
-        if *failures > 1 {
-            Timer::after(RETRY_BACKOFF).await;
+    fn drop_unconfirmed(&self, result: &mut ResultPages, loss: ConnectionLoss) {
+        if result.on_connection_lost(loss) {
+            self.engine.record_unconfirmed_page();
         }
     }
 
--- a/crates/ivypitch-gateway/src/actors/engine_client.rs
+++ b/crates/ivypitch-gateway/src/actors/engine_client.rs
@@ -160,7 +160,7 @@
             match idle.unread_input() {
                 UnreadInput::Nothing => return Some(idle),
                 // The engine may close a connection that was idle for long.
-                UnreadInput::Closed => {}
+                UnreadInput::Closed | UnreadInput::Reset => {}
                 UnreadInput::Bytes => drop(pool.on_unexpected_answer()),
             }
         }
@@ -256,6 +256,8 @@
         connection.write(request).await?;
         let response = match connection.response(timeout).await {
             Ok(response) => response,
+            // An engine may close a connection between two calls.
+            Err(CallError::StreamEnded) => return Err(CallError::StreamEnded),
             Err(error) => {
                 self.on_unexpected_input();
                 return Err(error);
@@ -263,7 +265,9 @@
         };
         let is_completed = response.status == status::COMPLETED;
         match connection.unread_input() {
-            UnreadInput::Nothing | UnreadInput::Closed if response.closes_connection => {
+            UnreadInput::Nothing | UnreadInput::Closed | UnreadInput::Reset
+                if response.closes_connection =>
+            {
                 if is_completed && !connection.confirms_by_close(timeout).await {
                     self.on_unexpected_input();
                     return Err(CallError::NoResponse);
@@ -284,7 +288,8 @@
                     return Err(CallError::NoResponse);
                 }
             }
-            UnreadInput::Closed => {}
+            // What ended the connection tells whether the response is complete.
+            UnreadInput::Closed | UnreadInput::Reset => *slot = Some(connection),
         }
         Ok(response)
     }
--- a/crates/ivypitch-gateway/src/actors/engine_connection.rs
+++ b/crates/ivypitch-gateway/src/actors/engine_connection.rs
@@ -27,7 +27,13 @@
     /// The connection was not opened in time, or the request was not sent completely.
     #[error("request not sent")]
     NotSent,
-    /// The request was sent, but the connection broke, timed out or received malformed data.
+    /// The engine closed its side before the first byte of a response.
+    #[error("connection closed before a response")]
+    StreamEnded,
+    /// The connection broke before the first byte of a response.
+    #[error("connection reset before a response")]
+    ConnectionReset,
+    /// The request was sent, but no complete response arrived in time, or malformed data did.
     #[error("no complete response")]
     NoResponse,
 }
@@ -39,8 +45,10 @@
     Nothing,
     /// Bytes that belong to no request.
     Bytes,
-    /// End of stream, or an error.
+    /// The end of the stream.
     Closed,
+    /// The connection broke.
+    Reset,
 }
 
 /// An open connection to an engine. It holds one of the
@@ -107,8 +115,9 @@
         match self.stream.get_ref().peek(&mut [0]) {
             _ if !self.input.is_empty() => UnreadInput::Bytes,
             Err(error) if error.kind() == ErrorKind::WouldBlock => UnreadInput::Nothing,
-            Ok(1..) => UnreadInput::Bytes,
-            _ => UnreadInput::Closed,
+            Ok(0) => UnreadInput::Closed,
+            Ok(_) => UnreadInput::Bytes,
+            Err(_) => UnreadInput::Reset,
         }
     }
 
@@ -172,7 +181,10 @@
                 Ok(None) => {}
                 Ok(Some(_)) | Err(_) => return Err(CallError::NoResponse),
             }
+            let is_first_byte = informational == 0 && self.input.is_empty();
             match read_some(&self.stream, &mut self.input).await {
+                Ok(0) if is_first_byte => return Err(CallError::StreamEnded),
+                Err(_) if is_first_byte => return Err(CallError::ConnectionReset),
                 Ok(0) | Err(_) => return Err(CallError::NoResponse),
                 Ok(byte_count) => {
                     first_bytes_at.get_or_insert_with(Instant::now);
--- a/crates/ivypitch-gateway/src/state/result_pages.rs
+++ b/crates/ivypitch-gateway/src/state/result_pages.rs
@@ -3,7 +3,8 @@
 //! A page whose stated length is too small looks complete as soon as that many bytes have arrived;
 //! the rest of its body may arrive at any later time. Only what follows on the connection proves the
 //! length: the next response begins where the body ends, and so does the end of a stream that the
-//! engine closes. Until then the last page is unconfirmed. It is dropped if its connection is lost.
+//! engine closes. Until then the last page is unconfirmed. It is dropped if its connection is lost;
+//! where nothing spoke against its length, the same page on another connection confirms it.
 
 use bytes::Bytes;
 
@@ -33,6 +34,15 @@
     Reused,
 }
 
+/// How the connection of the last page was lost.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum ConnectionLoss {
+    /// The connection broke, and nothing had followed the page.
+    Reset,
+    /// No response followed in time, or something else than a response.
+    Unusable,
+}
+
 /// Why a response does not continue a result.
 #[derive(Clone, Copy, PartialEq, Eq, Debug, thiserror::Error)]
 pub enum ResultError {
@@ -56,12 +66,15 @@
     page_count: usize,
     rows: Rows,
     is_last_confirmed: bool,
+    /// The page after the last one, if it was received on a connection that broke then.
+    lost_page: Option<Bytes>,
 }
 
 impl ResultPages {
-    /// Begins with the response that reports the end of a statement. Fails if it is not the first
+    /// Begins with the response that reports the end of a statement. `lost_page` is the first page
+    /// as it was received on a connection that broke then. Fails if the response is not the first
     /// page of a result.
-    pub fn begin(end: &Response) -> Result<ResultPages, ResultError> {
+    pub fn begin(end: &Response, lost_page: Option<Bytes>) -> Result<ResultPages, ResultError> {
         let page_count = end
             .page_count
             .filter(|_| is_first_page(end))
@@ -70,6 +83,7 @@
             page_count,
             rows: Rows::default(),
             is_last_confirmed: true,
+            lost_page,
         };
         result.push(end.body.clone(), end.closes_connection)?;
         Ok(result)
@@ -129,15 +143,32 @@
         Ok(())
     }
 
+    /// Handles the end of the stream on which the last page arrived, which follows the page.
+    pub fn on_stream_ended(&mut self, connection: ConnectionUse) {
+        match connection {
+            ConnectionUse::First => self.is_last_confirmed = true,
+            // The page may be that of an earlier statement.
+            ConnectionUse::Reused => {
+                self.on_connection_lost(ConnectionLoss::Reset);
+            }
+        }
+    }
+
     /// Handles the loss of the connection on which the last page arrived. Returns whether that page
     /// was unconfirmed, and is dropped.
-    pub fn on_connection_lost(&mut self) -> bool {
-        let is_dropped = !self.is_last_confirmed;
-        if is_dropped {
-            self.rows.pop_page();
-            self.is_last_confirmed = true;
+    pub fn on_connection_lost(&mut self, loss: ConnectionLoss) -> bool {
+        if self.is_last_confirmed {
+            return false;
         }
-        is_dropped
+        let dropped = self.rows.pop_page();
+        self.lost_page = dropped.filter(|_| loss == ConnectionLoss::Reset);
+        self.is_last_confirmed = true;
+        true
+    }
+
+    /// Removes the page that is to be compared with the next one received.
+    pub fn take_lost_page(&mut self) -> Option<Bytes> {
+        self.lost_page.take()
     }
 
     /// Returns the rows of a complete result.
@@ -145,10 +176,11 @@
         self.rows
     }
 
-    /// Appends the next page. `is_confirmed` is true if the end of the stream followed it.
-    fn push(&mut self, page: Bytes, is_confirmed: bool) -> Result<(), ResultError> {
-        self.rows.push_page(page)?;
-        self.is_last_confirmed = is_confirmed;
+    /// Appends the next page. `is_closed` is true if the end of the stream followed it.
+    fn push(&mut self, page: Bytes, is_closed: bool) -> Result<(), ResultError> {
+        self.rows.push_page(page.clone())?;
+        let is_repeated = self.lost_page.take() == Some(page);
+        self.is_last_confirmed = is_closed || is_repeated;
         Ok(())
     }
 }
--- a/crates/ivypitch-gateway/src/state/rows.rs
+++ b/crates/ivypitch-gateway/src/state/rows.rs
@@ -53,11 +53,11 @@
         Ok(())
     }
 
-    /// Removes the last page, if there is one.
-    pub fn pop_page(&mut self) {
-        if let Some(page) = self.pages.pop() {
-            self.bytes -= page.len();
-        }
+    /// Removes the last page, if there is one, and returns it.
+    pub fn pop_page(&mut self) -> Option<Bytes> {
+        let page = self.pages.pop()?;
+        self.bytes -= page.len();
+        Some(page)
     }
 
     /// The first page, if there is one.
--- a/crates/ivypitch-gateway/tests/state.rs
+++ b/crates/ivypitch-gateway/tests/state.rs
@@ -8,8 +8,12 @@
 };
 use ivypitch_gateway::state::engines::EngineIds;
 use ivypitch_gateway::state::permits::ConnectionPermits;
+use ivypitch_gateway::state::result_pages::{
+    ConnectionLoss, ConnectionUse, ResultPages, ResultStep,
+};
 use ivypitch_gateway::state::statements::{InFlightAttempt, NewStatement, StatementTable};
 use ivypitch_gateway::wire::fields::Fields;
+use ivypitch_gateway::wire::http::{Response, status};
 use ivypitch_types::{EngineIndex, Outcome, StatementIndex};
 use test_case::test_case;
 
@@ -138,3 +142,41 @@
     drop(first);
     assert!(block_on(poll_once(permits.acquire())).is_some());
 }
+
+fn first_page(rows: &'static str) -> Response {
+    Response {
+        status: status::COMPLETED,
+        page_count: Some(1),
+        body: Bytes::from_static(rows.as_bytes()),
+        ..Response::default()
+    }
+}
+
+/// Guards against a page that counts as complete after something else than a response followed it.
+#[test_case(ConnectionLoss::Reset, "a\tb\tc\n", ResultStep::Complete; "the same page behind a reset")]
+#[test_case(ConnectionLoss::Reset, "", ResultStep::Request(0); "another page behind a reset")]
+#[test_case(ConnectionLoss::Unusable, "a\tb\tc\n", ResultStep::Request(0); "the same page behind stray bytes")]
+fn a_page_of_a_lost_connection_is_confirmed_by_the_same_page_only_if_nothing_followed(
+    loss: ConnectionLoss,
+    repeated: &'static str,
+    expected: ResultStep,
+) {
+    let mut result = ResultPages::begin(&first_page("a\tb\tc\n"), None).unwrap();
+    assert_eq!(result.next_step(), ResultStep::Request(0));
+    assert!(result.on_connection_lost(loss));
+    assert_eq!(result.next_step(), ResultStep::Restart);
+    let lost_page = result.take_lost_page();
+    let result = ResultPages::begin(&first_page(repeated), lost_page).unwrap();
+    assert_eq!(result.next_step(), expected);
+}
+
+#[test_case(ConnectionUse::First, ResultStep::Complete; "of its statement alone")]
+#[test_case(ConnectionUse::Reused, ResultStep::Restart; "that served another statement before")]
+fn the_end_of_the_stream_confirms_a_page_on_a_connection(
+    connection: ConnectionUse,
+    expected: ResultStep,
+) {
+    let mut result = ResultPages::begin(&first_page("a\tb\tc\n"), None).unwrap();
+    result.on_stream_ended(connection);
+    assert_eq!(result.next_step(), expected);
+}
