--- a/crates/ivypitch-cli/tests/results.rs
+++ b/crates/ivypitch-cli/tests/results.rs
@@ -73,6 +73,7 @@
 
 /// Guards against a result that is never confirmed since its engine ends each connection.
 #[test_case("Connection: close\r\n"; "and says so")]
+#[test_case("Connection: close\r\nConnection: close\r\n"; "and says so twice")]
 #[test_case(""; "and does not say so")]
 fn an_engine_that_closes_after_each_response_is_served(header: &'static str) {
     let engine = FakeEngine::start(move |call, _| {
