Add a case of loads with one key that come while their gateway stands still

Cause: a session that is open is read before a connection in the listen queue, whichever got its load first. Change: case 8; the stand-in engines now tell progress, cost and load where the settings say so.

--- a/review/standins-2/standins.rs
+++ b/review/standins-2/standins.rs
@@ -8,7 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::sync::{Arc, Condvar, Mutex};
+use std::sync::{Arc, Condvar, Mutex, OnceLock};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
@@ -37,6 +37,28 @@
  "permissions":{"connect-timeout-ns":250000000,"idle-close-ns":15000000000,"max-attempts":6,"max-retry-after-ns":2000000000,
   "max-streams":100,"may-cancel":true,"may-probe":true,"most-held":20000,"peers":true,"retry-after":true,"second-copies":false},
  "prices":{"waste":0.05}}"#;
+/// Settings as `tally-main` would have them, with one gateway.
+pub const TALLY_MAIN: &str = r#"{"balancers":1,"me":0,"zone":0,"tier":0,"tick-ns":5000000,"family":"queries","tiers":["query-fleet"],
+ "zones":["room-one"],"host-types":["big-16","mid-12"],"registry-mode":"pushed","worth-by":"request","over-share-worth":0.2,
+ "categories":[
+  {"name":"lookup","goal-time-ns":500000000,"aim-stretch":2.0,"give-up-ns":2500000000,"effect":"safe","key-scope":"all",
+   "worth":1.0,"late-value":0.1,"stream":false,"window-ns":5000000000},
+  {"name":"report","goal-time-ns":3000000000,"aim-stretch":2.5,"give-up-ns":15000000000,"effect":"safe","key-scope":"all",
+   "worth":12.0,"late-value":0.4,"stream":false,"window-ns":5000000000},
+  {"name":"load","goal-time-ns":4000000000,"aim-stretch":3.0,"give-up-ns":25000000000,"effect":"keyed","key-scope":"all",
+   "worth":12.0,"late-value":0.6,"stream":false,"window-ns":25000000000,"keep-order":true}],
+ "customers":[{"allowance-per-s":60.0,"name":"island-tally","share":0.61},{"allowance-per-s":40.0,"name":"wetland-watch","share":0.39}],
+ "clients":{"marks-retry":false},
+ "contract":{"budget-free":3.0,"cold-from":0.3,"drain-grace-ns":500000000,"grace-to-answer-ns":20000000,
+  "must-ask-in-ns":10000000000,"overload-factor":2.5,"repeat-ratio":0.2,"resend-span-ns":10000000000,
+  "settle-after-doubt-ns":500000000,"tip-after-ns":3000000000,"warm-up-ns":13000000000},
+ "extra":{"cores-by-kind":[16,12],"dop":[1,3,2],"loads":[false,false,true],"memory-heeded":true,"most-grant":0.4,
+  "progress-pace-ns":2000000000,"ranks-heeded":true,"size-mb":[32768.0,24576.0],"tells-cost":false,"when-short":"swap",
+  "yields-to-loads":[false,false,false]},
+ "load-info":{"fields":[],"how":"silent"},
+ "permissions":{"connect-timeout-ns":250000000,"idle-close-ns":15000000000,"max-attempts":3,"max-retry-after-ns":2000000000,
+  "max-streams":32,"may-cancel":true,"may-probe":true,"most-held":20000,"peers":true,"retry-after":true,"second-copies":true},
+ "prices":{"waste":0.063}}"#;
 /// The halls of `kandy-merchant`.
 pub const HALLS: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 
@@ -108,7 +130,27 @@
     pub ended_at: u64,
 }
 
+/// What engines tell, as the settings say.
+#[derive(Clone, Copy)]
+pub struct Manners {
+    /// Time between notes of progress in milliseconds; 0: no notes (`progress-pace-ns`).
+    pub note_ms: u64,
+    /// A good end tells the work and the memory that it needed (`tells-cost`).
+    pub tells_cost: bool,
+    /// Answers hold the load report `waiting`, `active`, `x0` (`load-info`, `piggyback`).
+    pub reports_load: bool,
+}
+
+/// Set once, before the engines start; without it notes come every 2 s and nothing else is told.
+pub static MANNERS: OnceLock<Manners> = OnceLock::new();
+
+fn manners() -> Manners {
+    *MANNERS.get_or_init(|| Manners { note_ms: 2_000, tells_cost: false, reports_load: false })
+}
+
 struct Query {
+    began: Instant,
+    noted: Instant,
     ends: Instant,
     asked: Instant,
     start: usize,
@@ -300,6 +342,8 @@
                     record.line(&format!("{engine} starts {id} {class}"));
                     let now = Instant::now();
                     let query = Query {
+                        began: now,
+                        noted: now,
                         ends: now + work,
                         asked: now,
                         start: index,
@@ -329,25 +373,49 @@
     }
 }
 
-/// Answers a start or a poll: the end, or after 250 ms nothing.
+/// Answers a start or a poll: the end, a note, or after 250 ms nothing.
 fn answer_poll(stream: &mut TcpStream, state: &Mutex<EngineState>, id: &str) -> io::Result<()> {
     let until = Instant::now() + LONG_POLL;
+    let manners = manners();
     loop {
         let now = Instant::now();
-        let rows = {
+        let (rows, note, headers) = {
             let mut state = state.lock().unwrap();
+            let mut headers = String::new();
+            if manners.reports_load {
+                let active = state.queries.values().filter(|query| !query.is_done).count();
+                let granted = (active as f64 * 0.02).min(1.0);
+                headers = format!("Srv-Load: waiting:0;active:{active};x0:{granted:.2}\r\n");
+            }
             let Some(query) = state.queries.get_mut(id) else {
                 drop(state);
-                return respond(stream, "500 Error", "", "");
+                return respond(stream, "500 Error", &headers, "");
             };
             query.asked = now;
-            query.is_done.then(|| query.rows.clone())
+            let mut note = None;
+            if !query.is_done
+                && manners.note_ms > 0
+                && now.duration_since(query.noted) >= Duration::from_millis(manners.note_ms)
+            {
+                query.noted = now;
+                let whole = query.ends.duration_since(query.began).as_secs_f64().max(0.001);
+                note = Some(now.duration_since(query.began).as_secs_f64() / whole);
+            }
+            if query.is_done && manners.tells_cost {
+                let work = query.ends.duration_since(query.began).as_millis();
+                headers += &format!("Work-Ms: {work}\r\nPeak-Mb: 32\r\n");
+            }
+            (query.is_done.then(|| query.rows.clone()), note, headers)
         };
         if let Some(rows) = rows {
-            return respond(stream, "200 OK", "Page-Count: 1\r\n", &rows);
+            return respond(stream, "200 OK", &format!("Page-Count: 1\r\n{headers}"), &rows);
+        }
+        if let Some(done) = note {
+            let note = format!("Srv-Note: done\r\nFigure: {:.3}\r\n{headers}", done.min(1.0));
+            return respond(stream, "202 Running", &note, "");
         }
         if now >= until {
-            return respond(stream, "202 Running", "", "");
+            return respond(stream, "202 Running", &headers, "");
         }
         sleep_ms(5);
     }
@@ -534,14 +602,7 @@
         let name_end = greeting[1..].iter().position(|&b| b == 0).ok_or(ErrorKind::InvalidData)? + 2;
         let id = greeting.get(name_end..name_end + 4).ok_or(ErrorKind::InvalidData)?;
         client.connection = u32::from_le_bytes([id[0], id[1], id[2], id[3]]);
-        // Long password, with a database, protocol 4.1, transactions, secure connection.
-        let flags: u32 = 1 | 8 | 1 << 9 | 1 << 13 | 1 << 15;
-        let mut login = flags.to_le_bytes().to_vec();
-        login.extend_from_slice(&(16u32 << 20).to_le_bytes());
-        login.push(45);
-        login.extend_from_slice(&[0; 23]);
-        login.extend_from_slice(b"app\0\0dw\0");
-        client.write_packet(1, &login)?;
+        client.write_packet(1, &login())?;
         let ok = client.packet(until)?;
         if ok.first() != Some(&0) {
             return Err(ErrorKind::PermissionDenied.into());
@@ -549,6 +610,16 @@
         Ok(client)
     }
 
+    /// Connects, and writes login and first statement before the greeting has been read; the answer is read later.
+    pub fn connect_and_send(address: SocketAddr, text: &str) -> io::Result<EarlyClient> {
+        let stream = TcpStream::connect_timeout(&address, Duration::from_secs(2))?;
+        stream.set_nodelay(true)?;
+        let mut client = Client { stream, connection: 0, input: Vec::new() };
+        client.write_packet(1, &login())?;
+        client.send(text)?;
+        Ok(EarlyClient(client))
+    }
+
     fn write_packet(&mut self, sequence: u8, payload: &[u8]) -> io::Result<()> {
         let mut packet = (payload.len() as u32).to_le_bytes()[..3].to_vec();
         packet.push(sequence);
@@ -634,6 +705,36 @@
     }
 }
 
+/// A client that has sent its first statement ahead of the greeting.
+pub struct EarlyClient(Client);
+
+impl EarlyClient {
+    /// Waits for the greeting, the end of the login and the answer.
+    pub fn answer(&mut self, wait: Duration) -> Answer {
+        let until = Instant::now() + wait;
+        for _ in 0..2 {
+            match self.0.packet(until) {
+                Ok(_) => {}
+                Err(error) if error.kind() == ErrorKind::TimedOut => return Answer::Nothing,
+                Err(_) => return Answer::Closed,
+            }
+        }
+        self.0.answer(until.saturating_duration_since(Instant::now()))
+    }
+}
+
+/// The login packet: user `app`, no password, database `dw`.
+fn login() -> Vec<u8> {
+    // Long password, with a database, protocol 4.1, transactions, secure connection.
+    let flags: u32 = 1 | 8 | 1 << 9 | 1 << 13 | 1 << 15;
+    let mut login = flags.to_le_bytes().to_vec();
+    login.extend_from_slice(&(16u32 << 20).to_le_bytes());
+    login.push(45);
+    login.extend_from_slice(&[0; 23]);
+    login.extend_from_slice(b"app\0\0dw\0");
+    login
+}
+
 fn is_eof(packet: &[u8]) -> bool {
     packet.first() == Some(&0xfe) && packet.len() < 9
 }
