Replace the case of loads while a gateway stands still by one of two executions at once

Cause: a gateway that stood still goes on with a report that a peer has taken over, and both start it anew; an idempotent statement needs no grant.

--- a/review/standins-2/standins.rs
+++ b/review/standins-2/standins.rs
@@ -150,7 +150,6 @@
 
 struct Query {
     began: Instant,
-    noted: Instant,
     ends: Instant,
     asked: Instant,
     start: usize,
@@ -308,6 +307,8 @@
 ) {
     let _ = stream.set_nodelay(true);
     let mut input = Vec::new();
+    // When this connection was last told a note, by query: each one that asks is told all notes.
+    let mut noted = HashMap::new();
     while let Some(request) = read_request(&mut stream, &mut input) {
         let mut parts = request.path.trim_start_matches('/').split('/').skip(1);
         let id = parts.next().unwrap_or("").to_owned();
@@ -343,18 +344,22 @@
                     let now = Instant::now();
                     let query = Query {
                         began: now,
-                        noted: now,
                         ends: now + work,
                         asked: now,
                         start: index,
                         is_done: false,
                         rows: format!("{id}\t{}\tv\n", work.as_millis()),
                     };
-                    state.lock().unwrap().queries.insert(id.clone(), query);
-                    answer_poll(&mut stream, state, &id)
+                    let replaced = state.lock().unwrap().queries.insert(id.clone(), query);
+                    if let Some(replaced) = replaced.filter(|replaced| !replaced.is_done) {
+                        starts.lock().unwrap()[replaced.start].ended_at = unix_ms();
+                        record.line(&format!("{engine} had {id} running already: the new start replaces it"));
+                    }
+                    noted.remove(&id);
+                    answer_poll(&mut stream, state, &id, &mut noted)
                 }
             }
-            ("GET", Some(0)) => answer_poll(&mut stream, state, &id),
+            ("GET", Some(0)) => answer_poll(&mut stream, state, &id, &mut noted),
             ("PUT", _) => respond(&mut stream, "204 Done", "", ""),
             ("DELETE", _) => {
                 if let Some(query) = state.lock().unwrap().queries.remove(&id)
@@ -374,7 +379,12 @@
 }
 
 /// Answers a start or a poll: the end, a note, or after 250 ms nothing.
-fn answer_poll(stream: &mut TcpStream, state: &Mutex<EngineState>, id: &str) -> io::Result<()> {
+fn answer_poll(
+    stream: &mut TcpStream,
+    state: &Mutex<EngineState>,
+    id: &str,
+    noted: &mut HashMap<String, Instant>,
+) -> io::Result<()> {
     let until = Instant::now() + LONG_POLL;
     let manners = manners();
     loop {
@@ -395,9 +405,9 @@
             let mut note = None;
             if !query.is_done
                 && manners.note_ms > 0
-                && now.duration_since(query.noted) >= Duration::from_millis(manners.note_ms)
+                && now.duration_since(*noted.get(id).unwrap_or(&query.began)) >= Duration::from_millis(manners.note_ms)
             {
-                query.noted = now;
+                noted.insert(id.to_owned(), now);
                 let whole = query.ends.duration_since(query.began).as_secs_f64().max(0.001);
                 note = Some(now.duration_since(query.began).as_secs_f64() / whole);
             }
