Show two executions at once by engines that stand still, without peers

Cause: a poll that an engine reads before the start that it asks for is answered 500, which the gateway takes for the end of the attempt.

--- a/review/standins-2/standins.rs
+++ b/review/standins-2/standins.rs
@@ -37,28 +37,28 @@
  "permissions":{"connect-timeout-ns":250000000,"idle-close-ns":15000000000,"max-attempts":6,"max-retry-after-ns":2000000000,
   "max-streams":100,"may-cancel":true,"may-probe":true,"most-held":20000,"peers":true,"retry-after":true,"second-copies":false},
  "prices":{"waste":0.05}}"#;
-/// Settings as `tally-main` would have them, with one gateway.
-pub const TALLY_MAIN: &str = r#"{"balancers":1,"me":0,"zone":0,"tier":0,"tick-ns":5000000,"family":"queries","tiers":["query-fleet"],
- "zones":["room-one"],"host-types":["big-16","mid-12"],"registry-mode":"pushed","worth-by":"request","over-share-worth":0.2,
+/// Settings as `conteo-santiago` would have them, with one gateway.
+pub const CONTEO_SANTIAGO: &str = r#"{"balancers":1,"me":0,"zone":0,"tier":0,"tick-ns":5000000,"family":"queries","tiers":["motores-consulta"],
+ "zones":["sala-norte","sala-sur"],"host-types":["gen-a","gen-b"],"registry-mode":"pushed","worth-by":"request","over-share-worth":0.1,
  "categories":[
-  {"name":"lookup","goal-time-ns":500000000,"aim-stretch":2.0,"give-up-ns":2500000000,"effect":"safe","key-scope":"all",
+  {"name":"mesa-lookup","goal-time-ns":1000000000,"aim-stretch":1.5,"give-up-ns":5000000000,"effect":"safe","key-scope":"all",
    "worth":1.0,"late-value":0.1,"stream":false,"window-ns":5000000000},
-  {"name":"report","goal-time-ns":3000000000,"aim-stretch":2.5,"give-up-ns":15000000000,"effect":"safe","key-scope":"all",
-   "worth":12.0,"late-value":0.4,"stream":false,"window-ns":5000000000},
-  {"name":"load","goal-time-ns":4000000000,"aim-stretch":3.0,"give-up-ns":25000000000,"effect":"keyed","key-scope":"all",
-   "worth":12.0,"late-value":0.6,"stream":false,"window-ns":25000000000,"keep-order":true}],
- "customers":[{"allowance-per-s":60.0,"name":"island-tally","share":0.61},{"allowance-per-s":40.0,"name":"wetland-watch","share":0.39}],
+  {"name":"distrito-report","goal-time-ns":3000000000,"aim-stretch":2.5,"give-up-ns":25000000000,"effect":"safe","key-scope":"all",
+   "worth":7.5,"late-value":0.4,"stream":false,"window-ns":5000000000},
+  {"name":"acta-load","goal-time-ns":3000000000,"aim-stretch":2.5,"give-up-ns":25000000000,"effect":"keyed","key-scope":"all",
+   "worth":5.0,"late-value":0.5,"stream":false,"window-ns":25000000000,"keep-order":true}],
+ "customers":[{"allowance-per-s":6.0,"name":"canal-nueve-valle","share":0.39},{"allowance-per-s":4.0,"name":"diario-la-quebrada","share":0.27},
+  {"allowance-per-s":4.0,"name":"radio-el-litoral","share":0.25},{"allowance-per-s":1.5,"name":"portal-tres-rios","share":0.09}],
  "clients":{"marks-retry":false},
- "contract":{"budget-free":3.0,"cold-from":0.3,"drain-grace-ns":500000000,"grace-to-answer-ns":20000000,
-  "must-ask-in-ns":10000000000,"overload-factor":2.5,"repeat-ratio":0.2,"resend-span-ns":10000000000,
-  "settle-after-doubt-ns":500000000,"tip-after-ns":3000000000,"warm-up-ns":13000000000},
- "extra":{"cores-by-kind":[16,12],"dop":[1,3,2],"loads":[false,false,true],"memory-heeded":true,"most-grant":0.4,
-  "progress-pace-ns":2000000000,"ranks-heeded":true,"size-mb":[32768.0,24576.0],"tells-cost":false,"when-short":"swap",
-  "yields-to-loads":[false,false,false]},
- "load-info":{"fields":[],"how":"silent"},
- "permissions":{"connect-timeout-ns":250000000,"idle-close-ns":15000000000,"max-attempts":3,"max-retry-after-ns":2000000000,
-  "max-streams":32,"may-cancel":true,"may-probe":true,"most-held":20000,"peers":true,"retry-after":true,"second-copies":true},
- "prices":{"waste":0.063}}"#;
+ "contract":{"cold-from":0.32,"drain-grace-ns":500000000,"grace-to-answer-ns":20000000,"must-ask-in-ns":10000000000,
+  "overload-factor":2.0,"settle-after-doubt-ns":0,"tip-after-ns":1000000000,"warm-up-ns":14000000000},
+ "extra":{"cores-by-kind":[8,8],"dop":[1,3,2],"loads":[false,false,true],"memory-heeded":true,"most-grant":0.4,
+  "progress-pace-ns":0,"ranks-heeded":false,"size-mb":[16384.0,16384.0],"tells-cost":false,"when-short":"queue",
+  "yields-to-loads":[true,false,false]},
+ "load-info":{"fields":["cpu","waiting","x0","x1"],"how":"pull"},
+ "permissions":{"connect-timeout-ns":250000000,"idle-close-ns":30000000000,"max-attempts":5,"max-retry-after-ns":2000000000,
+  "max-streams":32,"may-cancel":false,"may-probe":true,"most-held":20000,"peers":false,"retry-after":true,"second-copies":false},
+ "prices":{"waste":0.05}}"#;
 /// The halls of `kandy-merchant`.
 pub const HALLS: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 
@@ -768,6 +768,14 @@
 
 // ---- the gateway ----
 
+/// Sends a signal to a process that the case started.
+pub fn signal(pid: u32, name: &str) {
+    let status = Command::new("/bin/sh").args(["-c", &format!("kill -{name} {pid}")]).status();
+    if !status.is_ok_and(|status| status.success()) {
+        cannot_run(&format!("kill -{name} failed"));
+    }
+}
+
 /// A gateway that the line `run` of the deploy file started.
 pub struct Gateway {
     pub name: String,
@@ -873,12 +881,7 @@
 
     /// Sends a signal: TERM, KILL, STOP, CONT or HUP.
     pub fn signal(&self, name: &str) {
-        let status = Command::new("/bin/sh")
-            .args(["-c", &format!("kill -{name} {}", self.pid)])
-            .status();
-        if !status.is_ok_and(|status| status.success()) {
-            cannot_run(&format!("kill -{name} failed"));
-        }
+        signal(self.pid, name);
     }
 
     /// Whether the process has ended; its status as text.
