--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 out=target/review-2
 mkdir -p "$out"
 rustc --edition 2024 -O --crate-name standins --crate-type rlib -o "$out/libstandins.rlib" review/standins-2/standins.rs
-for case in review/{6,7,8,9,10}/case.rs; do
+for case in review/{6,7,8,9,10}/play.rs; do
   [ -f "$case" ] || continue
   number=$(basename "$(dirname "$case")")
   rustc --edition 2024 -O --crate-name "case_$number" --extern "standins=$out/libstandins.rlib" -L "$out" \
