Answer clients that wait for another gateway before a planned stop ends

Seen by callers: beside peers a statement that outlives a planned stop got no answer; its connection ended 3.7 s after SIGTERM. Cause: clients that wait for another gateway's answer kept the statement's own deadline, which the shutdown did not shorten, so the process ended with their sessions. Cost: one comparison a waiting client and timer; no call, no byte a statement.

--- a/crates/ivypitch-cli/tests/takeover/planned_stops.rs
+++ b/crates/ivypitch-cli/tests/takeover/planned_stops.rs
@@ -5,6 +5,7 @@
 use ivypitch_testbed::log_lines::is_event;
 use ivypitch_testbed::test_servers::*;
 use rustix::process::Signal;
+use test_case::test_case;
 
 use crate::scene::*;
 
@@ -181,3 +182,39 @@
     );
     assert_eq!(setup.engine.start_count(1), 1);
 }
+
+/// Guards against a client without an answer because its statement, which outlives the planned
+/// stop, was handed off.
+#[test_case("load"; "a load")]
+#[test_case("lookup"; "a lookup")]
+fn a_planned_stop_answers_the_client_of_a_statement_that_it_hands_off(kind: &str) {
+    let mut setup = set_up(3).wait_until_voting();
+    let mut client = setup.send_statement(0, kind, 1);
+    assert_eq!(setup.engine.wait_for_start(1), 0);
+    setup.fleet.signal(0, Signal::TERM);
+    let answer = client.read_answer(1);
+    assert_eq!(answer.error_code(), 1105, "{answer:?}");
+    assert_eq!(setup.fleet.terminate(0), Some(0));
+    setup.engine.wait_for_poll(1, 0, &[0]);
+    // An idempotent statement may have been started again by its first gateway.
+    assert!(kind != "load" || setup.engine.start_count(1) == 1);
+}
+
+/// Guards against clients without an answer because they wait at the gateway that stops for the
+/// answer of another one.
+#[test]
+fn a_planned_stop_answers_the_clients_that_wait_for_another_gateway() {
+    const CLIENTS: u64 = 40;
+    let mut setup = set_up(3).wait_until_voting();
+    let _first = setup.start_load(0, 1);
+    let mut waiting: Vec<Client> = (0..CLIENTS)
+        .map(|_| setup.send_statement(1, "load", 1))
+        .collect();
+    setup.fleet.signal(1, Signal::TERM);
+    for client in &mut waiting {
+        let answer = client.read_answer(1);
+        assert_eq!(answer.error_code(), 1105, "{answer:?}");
+    }
+    assert_eq!(setup.fleet.terminate(1), Some(0));
+    assert_eq!(setup.engine.start_count(1), 1);
+}
--- a/crates/ivypitch-gateway/src/actors/ownership.rs
+++ b/crates/ivypitch-gateway/src/actors/ownership.rs
@@ -154,9 +154,11 @@
 pub struct OwnershipDriver {
     ownership: Ownership,
     output: OwnershipOutput,
-    /// Waiting clients by token. A client is removed when it is answered, when it disconnects, or
-    /// at its deadline.
+    /// Waiting clients by token. A client is removed when it is answered, when it disconnects, at
+    /// its deadline, or at the end of a shutdown.
     waiting_clients: BTreeMap<u64, WaitingClient>,
+    /// Deadline for all answers during a shutdown; [`Nanos::MAX`] before.
+    answer_by: Nanos,
     /// Attempts that wait for a grant. An attempt is removed when it is granted or denied or has
     /// ended.
     pending_attempts: BTreeMap<StatementId, Attempt>,
@@ -181,6 +183,7 @@
                 peers,
             },
             waiting_clients: BTreeMap::new(),
+            answer_by: Nanos::MAX,
             pending_attempts: BTreeMap::new(),
             unclaimed_answers: Vec::new(),
             last_token: 0,
@@ -328,12 +331,22 @@
         self.remove_waiting_client(token)
     }
 
+    /// Begins the shutdown: every waiting client must be answered by `answer_by`, whenever its own
+    /// deadline is, because no other gateway can answer on its connection.
+    pub fn on_shutdown(&mut self, answer_by: Nanos) {
+        self.answer_by = answer_by;
+    }
+
+    fn deadline_of(&self, waiting: &WaitingClient) -> Nanos {
+        waiting.deadline.min(self.answer_by)
+    }
+
     /// Removes the clients whose deadline has passed.
     pub fn remove_expired_clients(&mut self, now: Nanos) -> Vec<WaitingClient> {
         let expired: Vec<u64> = self
             .waiting_clients
             .iter()
-            .filter(|(_, waiting)| waiting.deadline <= now)
+            .filter(|(_, waiting)| self.deadline_of(waiting) <= now)
             .map(|(&token, _)| token)
             .collect();
         let mut removed = Vec::new();
@@ -379,7 +392,7 @@
         let next_deadline = self
             .waiting_clients
             .values()
-            .map(|waiting| waiting.deadline)
+            .map(|waiting| self.deadline_of(waiting))
             .min()
             .unwrap_or(Nanos::MAX);
         self.ownership.next_timer().min(next_deadline)
--- a/crates/ivypitch-gateway/src/actors/scheduler/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/mod.rs
@@ -280,7 +280,8 @@
         let context = &mut self.context;
         context.answer_by = answer_by;
         self.scheduler.borrow_mut().begin_shutdown(answer_by);
-        if context.ownership.is_some() {
+        if let Some(ownership) = &mut context.ownership {
+            ownership.on_shutdown(answer_by);
             let handoff_at = answer_by.saturating_sub(HANDOFF_LEAD_TIME);
             context.timers.set(handoff_at, TimerEvent::Handoff);
         }
