End a statement with its client where gateways are peers, unless it may have run

Seen by callers: a client closed its connection while its load waited for an engine, and the load was sent 0.7 s later and ran. Cause: a load under ownership was kept for a client that returns, also one that had never been sent; the scheduler was not told that the client had left, and the check before the first byte had no client to ask where gateways are peers. Change: Ownership::on_client_disconnected decides: another client waits, so it goes on; an attempt of a load may have run, so that attempt alone goes on (Scheduler::on_client_disconnected, rule 1); else the statement ends, a load sealed like a rejection. Attempts ask their client's socket at the first byte, with peers as without. An attempt that waits for its votes is withdrawn when cancelled and its grant counts as never run (it kept its place until the deadline). A statement taken over for a client that has left ends too. Why it works: each way to an attempt passes rule 1 and the first byte, and both now know of the client. A load whose client leaves unsent costs a round of votes.

--- a/crates/ivypitch-cli/tests/races/client_disconnects.rs
+++ b/crates/ivypitch-cli/tests/races/client_disconnects.rs
@@ -7,21 +7,36 @@
 
 use super::common::{
     STATEMENT_TIMEOUT_MS, engine_with_held_statement, id_of, respond_success, rows, send_statement,
-    start_count_of, start_gateway, with_long_connect_timeout,
+    start_count_of, start_gateway, start_gateway_with_peers, with_long_connect_timeout,
 };
 
-#[test_case(|c| drop(c.stream.shutdown(Shutdown::Both)); "it closes")]
-#[test_case(|c| drop(c.stream.shutdown(Shutdown::Write)); "it closes its half")]
-#[test_case(|c| c.send(&packet(0, &[1])); "it sends COM_QUIT")]
-#[test_case(|c| c.send(&[1, 0]); "it sends a part of COM_QUIT")]
-fn a_connection_established_as_its_client_leaves_carries_no_start(leave: fn(&mut Client)) {
+/// Starts a gateway for one engine, with or without peers.
+fn start_gateway_for(listener: &BlockedListener, has_peers: bool) -> Gateway {
+    let rows = [row_at(listener.address, "s-1", "in_service", 0)];
+    if has_peers {
+        start_gateway_with_peers(&rows, with_long_connect_timeout)
+    } else {
+        start_gateway(&rows, None, with_long_connect_timeout)
+    }
+}
+
+#[test_case(|c| drop(c.stream.shutdown(Shutdown::Both)), false; "it closes")]
+#[test_case(|c| drop(c.stream.shutdown(Shutdown::Write)), false; "it closes its half")]
+#[test_case(|c| c.send(&packet(0, &[1])), false; "it sends COM_QUIT")]
+#[test_case(|c| c.send(&[1, 0]), false; "it sends a part of COM_QUIT")]
+#[test_case(|c| drop(c.stream.shutdown(Shutdown::Both)), true; "it closes at a gateway with peers")]
+#[test_case(|c| drop(c.stream.shutdown(Shutdown::Write)), true; "it closes its half at a gateway with peers")]
+#[test_case(|c| c.send(&packet(0, &[1])), true; "it sends COM_QUIT to a gateway with peers")]
+#[test_case(|c| c.send(&[1, 0]), true; "it sends a part of COM_QUIT to a gateway with peers")]
+fn a_connection_established_as_its_client_leaves_carries_no_start(
+    leave: fn(&mut Client),
+    has_peers: bool,
+) {
     let listener = BlockedListener::start();
-    let gateway = start_gateway(
-        &[row_at(listener.address, "s-1", "in_service", 0)],
-        None,
-        with_long_connect_timeout,
-    );
-    let mut client = send_statement(&gateway, "load", 1, STATEMENT_TIMEOUT_MS);
+    let gateway = start_gateway_for(&listener, has_peers);
+    // A member that has just started grants no load.
+    let kind = if has_peers { "lookup" } else { "load" };
+    let mut client = send_statement(&gateway, kind, 1, STATEMENT_TIMEOUT_MS);
     listener.wait_for_connection_attempt();
     let engine = gateway.while_stopped(|| {
         leave(&mut client);
@@ -32,7 +47,7 @@
         .wait("close of the unused connection", |_| true);
     assert_eq!(engine.calls.all().len(), 0, "no bytes were sent on it");
     assert_eq!(
-        Client::connect(&gateway).execute(&statement("load", 2, STATEMENT_TIMEOUT_MS)),
+        Client::connect(&gateway).execute(&statement(kind, 2, STATEMENT_TIMEOUT_MS)),
         rows()
     );
     assert_eq!((engine.start_count(), start_count_of(&engine, 1)), (1, 0));
--- a/crates/ivypitch-cli/tests/races/common.rs
+++ b/crates/ivypitch-cli/tests/races/common.rs
@@ -50,6 +50,16 @@
     )))
 }
 
+/// Starts a gateway with `peers`: it is the only member, and every statement has an owner.
+pub fn start_gateway_with_peers(rows: &[String], change: impl Fn(String) -> String) -> Gateway {
+    let member = format!(
+        r#"{{"name":"n0","zone":"z","address":"{}"}}"#,
+        ivypitch_testbed::processes::ports::free_port()
+    );
+    let own = format!(r#"{{"peers":{{"gateways":[{member}]}}}}"#);
+    Gateway::start_with_own_settings(rows, change, Some(&own))
+}
+
 /// Sends a statement on a new connection and does not wait for its answer.
 pub fn send_statement(gateway: &Gateway, kind: &str, req: u64, timeout_ms: u64) -> Client {
     let mut client = Client::connect(gateway);
--- a/crates/ivypitch-cli/tests/takeover/main.rs
+++ b/crates/ivypitch-cli/tests/takeover/main.rs
@@ -3,6 +3,7 @@
 //! engines and the answers to clients.
 
 mod answers;
+mod client_disconnects;
 mod engines;
 mod lost_gateways;
 mod member_lists;
--- a/crates/ivypitch-cli/tests/takeover/scene.rs
+++ b/crates/ivypitch-cli/tests/takeover/scene.rs
@@ -85,6 +85,23 @@
         client
     }
 
+    /// Waits until a gateway has noticed that all its clients have left: it lists no open socket of
+    /// its listener but the listener itself.
+    pub fn wait_for_sessions_to_end(&self, g: usize) {
+        let local = format!(":{:04X} ", self.fleet.gateways[g].address.port());
+        wait_until("end of the sessions", || {
+            let table = std::fs::read_to_string("/proc/net/tcp").unwrap();
+            let is_session = |line: &str| {
+                let fields: Vec<&str> = line.split_whitespace().collect();
+                let is_local = fields
+                    .get(1)
+                    .is_some_and(|address| format!("{address} ").ends_with(&local));
+                is_local && !matches!(fields.get(3), Some(&"0A" | &"06"))
+            };
+            !table.lines().any(is_session)
+        });
+    }
+
     pub fn wait_for_loss(&self, at: usize, lost: usize) {
         self.fleet.gateways[at].log.wait("member loss", |line| {
             is_event(line, MEMBER_LOST, &[("member", &format!("n{lost}"))])
--- a/crates/ivypitch-gateway/src/actors/messages.rs
+++ b/crates/ivypitch-gateway/src/actors/messages.rs
@@ -196,6 +196,16 @@
 }
 
 impl ClientHandle {
+    /// Creates the handle of a statement without a client at this gateway: ownership stores the
+    /// clients that wait for its answer.
+    pub fn absent() -> ClientHandle {
+        let (answer, _) = async_channel::bounded(1);
+        ClientHandle {
+            answer,
+            presence: None,
+        }
+    }
+
     /// Sends the answer. Does nothing if the session has ended.
     pub fn send(&self, answer: Answer) {
         let _ = self.answer.try_send(answer);
--- a/crates/ivypitch-gateway/src/actors/ownership.rs
+++ b/crates/ivypitch-gateway/src/actors/ownership.rs
@@ -3,18 +3,19 @@
 //! grant and the clients that wait for another gateway's answer. The driver makes no decisions.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::rc::Rc;
 
 use async_channel::Sender;
 use bytes::Bytes;
 use ivypitch_ownership::{
-    Arrival, ArrivalDecision, FinalAnswer, GrantDecision, GrantDenial, Message, Output, Ownership,
-    StatementId, StatementSpec,
+    Arrival, ArrivalDecision, DisconnectDecision, FinalAnswer, GrantDecision, GrantDenial, Message,
+    Output, Ownership, StatementId, StatementSpec,
 };
 use ivypitch_types::{MILLISECOND, MemberId, Nanos};
 use serde_bytes::ByteBuf;
 
 use super::attempt::Attempt;
-use super::messages::{Answer, ClientHandle, ClientStatement, StartPermission};
+use super::messages::{Answer, ClientHandle, ClientPresence, ClientStatement, StartPermission};
 use super::peer_links::{PeerEvent, PeerLinksMessage};
 use crate::state::rows::Rows;
 
@@ -276,9 +277,24 @@
         self.ownership.on_engine_unknown(now, id, &mut self.output);
     }
 
-    /// Whether the statement continues after its client has disconnected.
-    pub fn continues_without_client(&self, id: StatementId) -> bool {
-        self.ownership.continues_without_client(id)
+    /// A client of a statement that is open in the scheduler has disconnected.
+    pub fn on_client_disconnected(
+        &mut self,
+        now: Nanos,
+        id: StatementId,
+        token: u64,
+    ) -> DisconnectDecision {
+        self.ownership
+            .on_client_disconnected(now, id, token, &mut self.output)
+    }
+
+    /// The connection of the first client that waits here for the statement.
+    pub fn waiting_client_presence(&self, id: StatementId) -> Option<Rc<ClientPresence>> {
+        let waiting = self
+            .waiting_clients
+            .values()
+            .find(|waiting| waiting.id == id)?;
+        waiting.client.presence.clone()
     }
 
     /// Stores a client until its answer arrives.
@@ -322,13 +338,15 @@
         Some((token, waiting))
     }
 
-    /// The client of this connection no longer waits. Removes and returns it if it waited here.
-    pub fn on_client_disconnected(&mut self, connection: u32) -> Option<WaitingClient> {
+    /// The client of this connection no longer waits. Removes and returns it with its token if it
+    /// waited here.
+    pub fn remove_disconnected_client(&mut self, connection: u32) -> Option<(u64, WaitingClient)> {
         let (&token, _) = self
             .waiting_clients
             .iter()
             .find(|(_, waiting)| waiting.connection == connection)?;
-        self.remove_waiting_client(token)
+        let waiting = self.remove_waiting_client(token)?;
+        Some((token, waiting))
     }
 
     /// Begins the shutdown: every waiting client must be answered by `answer_by`, whenever its own
--- a/crates/ivypitch-gateway/src/actors/scheduler/output.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/output.rs
@@ -2,6 +2,7 @@
 //! sets timers.
 
 use std::cell::Cell;
+use std::rc::Rc;
 
 use ivypitch_ownership::GrantDecision;
 use ivypitch_scheduler::Output;
@@ -11,7 +12,9 @@
 use super::timers::TimerEvent;
 use crate::actors::attempt::Attempt;
 use crate::actors::engine::EngineMessage;
-use crate::actors::messages::{Answer, AttemptEnd, AttemptKey, AttemptMessage, SchedulerMessage};
+use crate::actors::messages::{
+    Answer, AttemptEnd, AttemptKey, AttemptMessage, ClientPresence, SchedulerMessage,
+};
 use crate::state::statements::{InFlightAttempt, OpenStatement};
 use crate::wire::http::StartRequest;
 
@@ -33,7 +36,7 @@
         timeout: Nanos,
         kind: AttemptKind,
     ) -> Option<Attempt> {
-        let has_ownership = self.ownership.is_some();
+        let client = self.client_presence(statement);
         let open = self.statements.get_mut(statement)?;
         let timeout = timeout.min(open.deadline.saturating_sub(self.now)).max(1);
         let times_out_at = self.now + timeout;
@@ -54,13 +57,7 @@
             scheduler: self.attempts.scheduler.clone(),
             gate: self.attempts.gate.clone(),
             times_out_at,
-            // With ownership, a statement may continue for a client that reconnects, so that the
-            // attempt does not depend on this connection.
-            client: open
-                .client
-                .as_ref()
-                .filter(|_| !has_ownership)
-                .and_then(|client| client.presence.clone()),
+            client,
         };
         open.attempt_count += 1;
         open.attempt = Some(InFlightAttempt {
@@ -75,21 +72,45 @@
         Some(attempt)
     }
 
+    /// The connection of a client that waits here for the statement; `None` if it goes on for
+    /// another gateway.
+    fn client_presence(&self, statement: StatementIndex) -> Option<Rc<ClientPresence>> {
+        let open = self.statements.get(statement)?;
+        let submitter = open.client.as_ref()?.presence.clone();
+        submitter.or_else(|| self.ownership.as_ref()?.waiting_client_presence(open.id()))
+    }
+
     /// Passes an attempt to its engine's actor.
     pub(super) fn dispatch(&self, attempt: Attempt) {
         let key = attempt.key;
         let Some(mailbox) = self.engines.mailbox(key.engine) else {
             // The engine was removed from the list in the meantime: nothing was sent.
-            let end = AttemptEnd::without_answer(Outcome::NotSent);
-            let _ = self
-                .attempts
-                .scheduler
-                .try_send(SchedulerMessage::AttemptEnded { key, end });
+            self.report_not_sent(key);
             return;
         };
         let _ = mailbox.try_send(EngineMessage::Start(Box::new(attempt)));
     }
 
+    fn report_not_sent(&self, key: AttemptKey) {
+        let end = AttemptEnd::without_answer(Outcome::NotSent);
+        let _ = self
+            .attempts
+            .scheduler
+            .try_send(SchedulerMessage::AttemptEnded { key, end });
+    }
+
+    /// Ends a cancelled attempt that waits for a grant: it has no task that could.
+    fn withdraw_pending_attempt(&mut self, statement: StatementIndex, attempt: u32) {
+        let id = self.statements.get(statement).map_or(0, OpenStatement::id);
+        let pending = self
+            .ownership
+            .as_mut()
+            .and_then(|ownership| ownership.take_pending_attempt(id, attempt));
+        if let Some(pending) = pending {
+            self.report_not_sent(pending.key);
+        }
+    }
+
     /// Polls an engine for an attempt that another gateway started there.
     pub(super) fn poll_running_attempt(&mut self, statement: StatementIndex, engine: EngineIndex) {
         let Some(open) = self.statements.get(statement) else {
@@ -156,9 +177,11 @@
         else {
             return;
         };
-        if in_flight.number == attempt {
-            let _ = in_flight.mailbox.try_send(AttemptMessage::Cancel);
+        if in_flight.number != attempt {
+            return;
         }
+        let _ = in_flight.mailbox.try_send(AttemptMessage::Cancel);
+        self.withdraw_pending_attempt(statement, attempt);
     }
 
     fn set_resources(&mut self, statement: StatementIndex, grant_mb: f64, priority: u8) {
--- a/crates/ivypitch-gateway/src/actors/scheduler/ownership.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/ownership.rs
@@ -193,7 +193,7 @@
             connection: NO_CONNECTION,
             statement,
             deadline,
-            client: absent_client(),
+            client: ClientHandle::absent(),
         });
         let Ok(statement) = opened else {
             // An attempt of the same statement is still in flight here.
@@ -324,16 +324,6 @@
     }
 }
 
-/// Creates a handle for a statement that was taken over, without a client: ownership stores the
-/// clients that wait for its answer.
-fn absent_client() -> ClientHandle {
-    let (answer, _) = async_channel::bounded(1);
-    ClientHandle {
-        answer,
-        presence: None,
-    }
-}
-
 impl Context {
     /// Parses a statement's text that another gateway received from its client.
     fn parse_takeover(&self, text: Vec<u8>) -> Option<ClientStatement> {
--- a/crates/ivypitch-gateway/src/actors/scheduler/statements.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/statements.rs
@@ -1,6 +1,7 @@
 //! Statements from arrival to answer, and the ends of their attempts.
 
 use ivypitch_config::{sanitize_memory_estimate_mb, table_group_index};
+use ivypitch_ownership::{DisconnectDecision, StatementId};
 use ivypitch_queueing::QueueArrival;
 use ivypitch_scheduler::{Arrival, AttemptEnded, AttemptProgress};
 use ivypitch_types::{MILLISECOND, Nanos, Outcome, StatementIndex};
@@ -10,7 +11,8 @@
 use super::output::attempt_timeout;
 use super::timers::TimerEvent;
 use crate::actors::messages::{
-    Answer, AttemptEnd, AttemptKey, AttemptMessage, ClientStatement, QueueRow, StartPermission,
+    Answer, AttemptEnd, AttemptKey, AttemptMessage, ClientHandle, ClientStatement, QueueRow,
+    StartPermission,
 };
 use crate::actors::ownership::WaitingClient;
 use crate::state::statements::{NewStatement, OpenStatement};
@@ -78,35 +80,68 @@
     pub(super) fn on_client_disconnected(&mut self, connection: u32) {
         let context = &mut self.context;
         if let Some(ownership) = &mut context.ownership
-            && ownership.on_client_disconnected(connection).is_some()
+            && let Some((token, waiting)) = ownership.remove_disconnected_client(connection)
         {
+            self.on_waiting_client_left(waiting.id, token);
             return;
         }
         let Some(statement) = context.statements.find_by_connection(connection) else {
             return;
         };
-        let id = context
-            .statements
-            .get(statement)
-            .map_or(0, OpenStatement::id);
+        let Some(open) = context.statements.get(statement) else {
+            return;
+        };
+        let (id, token) = (open.id(), open.client_token);
+        let decision = match &mut context.ownership {
+            Some(ownership) => ownership.on_client_disconnected(context.now, id, token),
+            None => DisconnectDecision::End,
+        };
+        if decision != DisconnectDecision::End {
+            // The answer is cached until the client returns, here or at another gateway.
+            context
+                .statements
+                .replace_client(statement, ClientHandle::absent());
+        }
+        self.apply_disconnect(statement, decision);
+    }
+
+    /// A client has left that waited for a statement without having submitted it to the scheduler.
+    /// The statement may have been taken over for that client alone.
+    fn on_waiting_client_left(&mut self, id: StatementId, token: u64) {
+        let context = &mut self.context;
+        let Some(statement) = context.statements.find_by_id(id) else {
+            return;
+        };
         if let Some(ownership) = &mut context.ownership {
-            if ownership.continues_without_client(id) {
-                // The answer is cached until the client returns, here or at another gateway.
-                return;
+            let decision = ownership.on_client_disconnected(context.now, id, token);
+            self.apply_disconnect(statement, decision);
+        }
+    }
+
+    fn apply_disconnect(&mut self, statement: StatementIndex, decision: DisconnectDecision) {
+        let context = &mut self.context;
+        match decision {
+            DisconnectDecision::Continue => {}
+            DisconnectDecision::FinishAttempt => {
+                self.scheduler
+                    .borrow_mut()
+                    .on_client_disconnected(context.now, statement, context);
+            }
+            DisconnectDecision::End => {
+                context.statements.take_client(statement);
+                self.expire_statement(statement);
             }
-            let _ = ownership.on_answered(context.now, id, &Answer::Killed);
         }
-        context.statements.take_client(statement);
-        self.expire_statement(statement);
     }
 
     /// A client requested that the statement of this connection be ended.
     pub(super) fn on_kill_query(&mut self, connection: u32) {
         if let Some(ownership) = &mut self.context.ownership
-            && let Some(waiting) = ownership.on_client_disconnected(connection)
+            && let Some((token, waiting)) = ownership.remove_disconnected_client(connection)
         {
             self.kill_counters.found += 1;
             waiting.client.send(Answer::Killed);
+            self.on_waiting_client_left(waiting.id, token);
             return;
         }
         let Some(statement) = self.context.statements.find_by_connection(connection) else {
--- a/crates/ivypitch-gateway/src/state/statements.rs
+++ b/crates/ivypitch-gateway/src/state/statements.rs
@@ -176,6 +176,15 @@
         open.is_unanswered().then_some(index)
     }
 
+    /// Replaces the handle of a client that has disconnected, unless the statement was answered.
+    pub fn replace_client(&mut self, index: StatementIndex, client: ClientHandle) {
+        if self.take_client(index).is_some()
+            && let Some(open) = self.get_mut(index)
+        {
+            open.client = Some(client);
+        }
+    }
+
     /// Takes the handle for the statement's only answer; `None` if it was taken before.
     pub fn take_client(&mut self, index: StatementIndex) -> Option<ClientHandle> {
         let open = self.get_mut(index)?;
--- a/crates/ivypitch-ownership/src/arrival.rs
+++ b/crates/ivypitch-ownership/src/arrival.rs
@@ -4,7 +4,7 @@
 
 use crate::lookup_reply::Location;
 use crate::message::{FinalAnswer, StatementId, StatementRecord, StatementSpec};
-use crate::output::{ArrivalDecision, Output};
+use crate::output::{ArrivalDecision, DisconnectDecision, Output};
 use crate::ownership::Ownership;
 use crate::statement::{StatementState, Waiter};
 
@@ -57,6 +57,38 @@
         ArrivalDecision::Proceed
     }
 
+    /// Handles the disconnection of a client whose statement is open in this gateway's scheduler.
+    ///
+    /// Without another client that waits, only an attempt that may have run goes on, and only where
+    /// the statement must not run again.
+    pub fn on_client_disconnected(
+        &mut self,
+        now: Nanos,
+        id: StatementId,
+        waiter_token: u64,
+        out: &mut dyn Output,
+    ) -> DisconnectDecision {
+        self.on_client_stopped_waiting(id, waiter_token);
+        let statement = self.statements.get(id);
+        let Some(statement) = statement.filter(|statement| statement.is_owner()) else {
+            return DisconnectDecision::End;
+        };
+        if statement.submitter.is_some() || !statement.waiters.is_empty() {
+            return DisconnectDecision::Continue;
+        }
+        let is_idempotent = statement.spec.is_idempotent;
+        if !is_idempotent && statement.may_have_run() {
+            return DisconnectDecision::FinishAttempt;
+        }
+        let answer = if is_idempotent {
+            FinalAnswer::Aborted
+        } else {
+            FinalAnswer::Rejected { retry_after_ms: 0 }
+        };
+        let _ = self.on_answered(now, id, answer, out);
+        DisconnectDecision::End
+    }
+
     /// Handles a client that disconnected or whose timeout has ended.
     pub fn on_client_stopped_waiting(&mut self, id: StatementId, waiter_token: u64) {
         if let Some(statement) = self.statements.get_mut(id) {
--- a/crates/ivypitch-ownership/src/attempt_grant.rs
+++ b/crates/ivypitch-ownership/src/attempt_grant.rs
@@ -296,12 +296,7 @@
             conflicts: pending.denied_by.values().flatten().cloned().collect(),
             has_all_answers: unanswered == 0,
         };
-        let unused_grant = AttemptGrant {
-            never_ran: true,
-            ..pending.grant
-        };
-        statement.pending_grant = None;
-        statement.grants.push(unused_grant);
+        statement.withdraw_pending_grant();
         self.on_vote_failed(now, id, failed, out)
     }
 
--- a/crates/ivypitch-ownership/src/completion.rs
+++ b/crates/ivypitch-ownership/src/completion.rs
@@ -143,6 +143,7 @@
         let statement = self.statements.get_mut(id)?;
         let submitter = statement.submitter;
         statement.move_submitter_to_waiters();
+        statement.withdraw_pending_grant();
         statement.takeover.rejection = Some(PendingRejection { retry_after_ms });
         let epoch_number = statement.epoch.number + 1;
         self.statements.transition(id, StatementState::Orphaned);
--- a/crates/ivypitch-ownership/src/lib.rs
+++ b/crates/ivypitch-ownership/src/lib.rs
@@ -40,7 +40,8 @@
     StatementRecord, StatementSpec, VERSION, VoteLogCompleteness,
 };
 pub use output::{
-    ArrivalDecision, GrantDecision, GrantDenial, Output, OwnershipCounters, OwnershipSizes,
+    ArrivalDecision, DisconnectDecision, GrantDecision, GrantDenial, Output, OwnershipCounters,
+    OwnershipSizes,
 };
 pub use ownership::Ownership;
 pub use result_cache::{Pages, ResultCache};
--- a/crates/ivypitch-ownership/src/output.rs
+++ b/crates/ivypitch-ownership/src/output.rs
@@ -55,6 +55,18 @@
     OwnedElsewhere,
 }
 
+/// What becomes of a statement when one of its clients has disconnected.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DisconnectDecision {
+    /// Another client waits for the statement, which goes on.
+    Continue,
+    /// The attempt may have run: it goes on to its end, which is kept for a client that returns. No
+    /// further attempt may begin.
+    FinishAttempt,
+    /// The statement has ended here: its attempt is cancelled, and none may begin.
+    End,
+}
+
 /// Whether an attempt may be dispatched.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum GrantDecision {
--- a/crates/ivypitch-ownership/src/ownership.rs
+++ b/crates/ivypitch-ownership/src/ownership.rs
@@ -92,14 +92,6 @@
         self.statements.get(id).map(Statement::state)
     }
 
-    /// Whether the statement's attempt continues after its client has disconnected: the client may
-    /// return to another gateway.
-    pub fn continues_without_client(&self, id: StatementId) -> bool {
-        self.statements.get(id).is_some_and(|statement| {
-            statement.is_owner() && (statement.is_known_to_voters || !statement.spec.is_idempotent)
-        })
-    }
-
     /// Handles a message from another member.
     pub fn on_message(
         &mut self,
--- a/crates/ivypitch-ownership/src/statement.rs
+++ b/crates/ivypitch-ownership/src/statement.rs
@@ -209,6 +209,17 @@
         self.grants.iter().any(|grant| !grant.never_ran)
     }
 
+    /// Ends the vote on an attempt that has not started and will not: a voter that granted it must
+    /// not take it for one that may have run.
+    pub(crate) fn withdraw_pending_grant(&mut self) {
+        if let Some(pending) = self.pending_grant.take() {
+            self.grants.push(AttemptGrant {
+                never_ran: true,
+                ..pending.grant
+            });
+        }
+    }
+
     /// Remaining time of the client's timeout.
     pub(crate) fn remaining(&self, now: Nanos) -> Nanos {
         self.deadline.saturating_sub(now)
--- a/crates/ivypitch-ownership/tests/single_gateway/rejections.rs
+++ b/crates/ivypitch-ownership/tests/single_gateway/rejections.rs
@@ -82,3 +82,39 @@
     }
     assert_eq!(out.answers, [rejected]);
 }
+
+/// Guards against a load that is polled for at its engine, and never rejected, though its client
+/// left before its attempt was granted.
+#[test]
+fn an_attempt_whose_client_leaves_during_the_vote_counts_as_never_run() {
+    let mut out = Recorder::default();
+    let mut ownership = gateway();
+    let decision = ownership.on_arrival(START, arrival(false), &mut out);
+    assert_eq!(decision, ArrivalDecision::Proceed);
+    let requested = ownership.request_attempt(START, ID, 0, 3, &mut out);
+    assert_eq!(requested, GrantDecision::Pending);
+    let granted = out.sent.iter().find_map(|(_, message)| match message {
+        Message::GrantRequest { record, grant } => Some((record.clone(), *grant)),
+        _ => None,
+    });
+    let (mut record, grant) = granted.expect("no vote was requested");
+    record.grants.push(grant);
+    let decision = ownership.on_client_disconnected(START, ID, CLIENT, &mut out);
+    assert_eq!(decision, DisconnectDecision::End);
+    let takeover = out.sent.iter().find_map(|(_, message)| match message {
+        Message::TakeoverRequest { epoch, .. } => Some(*epoch),
+        _ => None,
+    });
+    let epoch = takeover.expect("no vote on a new epoch was requested");
+    for voter in [2, 3] {
+        let reply = Message::TakeoverReply {
+            id: ID,
+            epoch,
+            is_promised: true,
+            record: Some(record.clone()),
+        };
+        ownership.on_message(START, MemberId(voter), reply, &mut out);
+    }
+    assert_eq!(ownership.state(ID), Some(StatementState::Closed));
+    assert_eq!((out.taken_over, out.granted.len()), (0, 0));
+}
--- a/crates/ivypitch-scheduler/src/attempts.rs
+++ b/crates/ivypitch-scheduler/src/attempts.rs
@@ -262,7 +262,7 @@
         let Some(statement) = self.statement(index) else {
             return false;
         };
-        if statement.sent_attempts() >= self.deployment.max_attempts {
+        if statement.is_abandoned || statement.sent_attempts() >= self.deployment.max_attempts {
             return false;
         }
         let Some(first) = statement.possible_run else {
--- a/crates/ivypitch-scheduler/src/safety_rules.rs
+++ b/crates/ivypitch-scheduler/src/safety_rules.rs
@@ -69,12 +69,14 @@
             && self.rule_7_retry_budget(&proposed)
     }
 
-    /// Rule 1: one attempt at a time, at most `max_attempts`, none after the client's deadline.
+    /// Rule 1: one attempt at a time, at most `max_attempts`, none after the client's deadline or
+    /// without a client that waits.
     #[inline(always)]
     fn rule_1_one_attempt_in_time(&self, proposed: &ProposedAttempt) -> bool {
         let statement = proposed.statement;
         let is_only_attempt = statement.attempt.is_some() == proposed.is_confirmation;
         is_only_attempt
+            && !statement.is_abandoned
             && proposed.earlier_attempts() < self.deployment.max_attempts
             && proposed.now < statement.deadline
     }
--- a/crates/ivypitch-scheduler/src/scheduler.rs
+++ b/crates/ivypitch-scheduler/src/scheduler.rs
@@ -391,6 +391,25 @@
         }
     }
 
+    /// Handles the disconnection of the last client of a statement whose attempt may have run, in a
+    /// fleet of gateways that keep its outcome: the running attempt goes on to its end, and no
+    /// further one begins. A statement without a running attempt is answered now.
+    pub fn on_client_disconnected(
+        &mut self,
+        now: Nanos,
+        index: StatementIndex,
+        output: &mut dyn Output,
+    ) {
+        let Some(statement) = self.statement_mut(index) else {
+            return;
+        };
+        statement.is_abandoned = true;
+        if statement.state == StatementState::Waiting {
+            self.reject_or_abort(now, index, output);
+            self.dispatch(now, output);
+        }
+    }
+
     /// Shortens the deadlines of all open statements to `deadline`, because the gateway shuts down.
     pub fn begin_shutdown(&mut self, deadline: Nanos) {
         for statement in self.statements.iter_mut().flatten() {
--- a/crates/ivypitch-scheduler/src/statement.rs
+++ b/crates/ivypitch-scheduler/src/statement.rs
@@ -89,6 +89,8 @@
     pub wait_deadline: Nanos,
     /// Number of load reports requested for the statement.
     pub report_requests: usize,
+    /// No client waits for the statement; only its running attempt goes on.
+    pub is_abandoned: bool,
 }
 
 impl Statement {
--- a/crates/ivypitch-scheduler/tests/scenario_language/player.rs
+++ b/crates/ivypitch-scheduler/tests/scenario_language/player.rs
@@ -234,6 +234,11 @@
                 let (scheduler, recorder) = self.scheduler();
                 scheduler.on_statement_expired(now, statement, recorder);
             }
+            "client_disconnected" => {
+                let statement = self.statement(words[1]);
+                let (scheduler, recorder) = self.scheduler();
+                scheduler.on_client_disconnected(now, statement, recorder);
+            }
             _ => return false,
         }
         true
--- a/crates/ivypitch-testbed/src/test_servers/controlled_engine.rs
+++ b/crates/ivypitch-testbed/src/test_servers/controlled_engine.rs
@@ -31,6 +31,9 @@
     leaves_later_pages_unanswered: bool,
     closes_polls: bool,
     fails_starts: bool,
+    rejects_starts: bool,
+    /// Ids of the queries that were started, in order; without those that were rejected.
+    accepted_starts: Vec<u64>,
 }
 
 impl ControlledQueries {
@@ -49,12 +52,16 @@
         if call.has_method("POST") && self.fails_starts {
             return response(500, "", "");
         }
+        if call.has_method("POST") && self.rejects_starts {
+            return response(503, "Srv-Untouched: 1\r\n", "");
+        }
         if call.has_method("GET") && self.closes_polls {
             return Reply::Close;
         }
         if call.has_method("POST") {
             let completed = (number >= 1 << 32).then(|| vec![format!("{id}\tb\tc\n")]);
             self.queries.entry(number).or_insert(completed);
+            self.accepted_starts.push(number);
             if self.leaves_starts_unanswered {
                 return Reply::NoResponse;
             }
@@ -136,6 +143,18 @@
         self.shared.lock().unwrap().fails_starts = is_enabled;
     }
 
+    /// While enabled, the engine is full: starts are rejected and do not run.
+    pub fn set_starts_rejected(&self, is_enabled: bool) {
+        let mut queries = self.shared.lock().unwrap();
+        queries.rejects_starts = is_enabled;
+        queries.accepted_starts.clear();
+    }
+
+    /// Ids of the queries that have started since the engine was last full, in order.
+    pub fn accepted_starts(&self) -> Vec<u64> {
+        self.shared.lock().unwrap().accepted_starts.clone()
+    }
+
     /// While enabled, each poll closes its connection.
     pub fn set_polls_closing(&self, is_enabled: bool) {
         self.shared.lock().unwrap().closes_polls = is_enabled;
