Bound what connections to the port for peers hold before they are identified

Seen: in a fleet of 300, at 32 MB and 256 descriptors, 300 connections to the port for peers that stop before the last byte of a frame of 128 KB take 34.2 MB, and 3,000 keep the gateway from accepting clients. Cause: a whole frame could come before the sender is known, as often as the fleet has members and 32 times more, and the bounds on descriptors knew no links. Change: the first frame has 64 bytes at most; 32 connections at most have not sent it, and a further one evicts the oldest; a member has two links open that it opened; connections to engines leave descriptors for the links. Why it works: what a connection holds before it is known is now bounded by 32 reads, and a member's own connection is identified within its first frame. Cost: nothing a statement.

--- a/crates/ivypitch-config/src/operator/peers.rs
+++ b/crates/ivypitch-config/src/operator/peers.rs
@@ -113,6 +113,11 @@
 }
 
 impl PeersSettings {
+    /// Number of gateways in the member list.
+    pub fn member_count(&self) -> usize {
+        self.members.len()
+    }
+
     /// Returns the network settings of the gateway named `name`.
     ///
     /// # Errors
--- a/crates/ivypitch-gateway/src/actors/peer_links/connection.rs
+++ b/crates/ivypitch-gateway/src/actors/peer_links/connection.rs
@@ -1,6 +1,7 @@
 //! One link: its connection, the handshake, and the frames in both directions.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -8,14 +9,17 @@
 use async_channel::{Receiver, Sender};
 use async_io::{Async, Timer};
 use bytes::{Bytes, BytesMut};
-use futures_lite::{AsyncWriteExt, FutureExt};
+use futures_lite::{AsyncWriteExt, FutureExt, future::yield_now};
 use ivypitch_types::MemberId;
 
 use super::context::PeerContext;
 use super::links::{LinkSerial, Outbox};
 use super::messages::{AcceptedLink, MessageGuard, PeerEvent, PeerLinksMessage};
+use super::unidentified::{UnidentifiedConnection, UnidentifiedConnections};
 use crate::actors::socket::read_some;
-use crate::wire::peer_frames::{Frame, decode_frame, encode_frame};
+use crate::wire::peer_frames::{
+    Frame, MAX_FRAME_BYTES, MAX_HELLO_BYTES, decode_frame, encode_frame,
+};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 const HELLO_TIMEOUT: Duration = Duration::from_secs(1);
@@ -27,9 +31,12 @@
 /// Limit on a link's messages that have not been handled yet. At this limit nothing more is read
 /// from the link.
 const MAX_UNHANDLED_MESSAGES: usize = 64;
-/// Limit on simultaneously accepted links, in addition to one for each member.
-const MAX_EXTRA_ACCEPTED_LINKS: usize = 32;
 const ACCEPT_RETRY_INTERVAL: Duration = Duration::from_millis(10);
+/// Connections accepted in a row before other tasks may run.
+const ACCEPTS_BEFORE_YIELD: usize = 16;
+/// Limit on the open links that one member has opened: a new process may connect before the end of
+/// the old one's link is noticed.
+const MAX_ACCEPTED_LINKS_PER_MEMBER: usize = 2;
 
 /// Whether the peer's first frame has been validated.
 #[derive(Clone, Copy, PartialEq, Eq)]
@@ -40,35 +47,81 @@
 
 /// Accepts and serves links from other members until the program ends.
 pub(super) async fn accept_all(listener: Async<TcpListener>, context: Rc<PeerContext>) {
-    let max_links = context.members.len() + MAX_EXTRA_ACCEPTED_LINKS;
-    let open_links = Rc::new(Cell::new(0));
+    let unidentified = UnidentifiedConnections::default();
+    let accepted_links = AcceptedLinks::default();
+    let mut accepted: usize = 0;
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             Timer::after(ACCEPT_RETRY_INTERVAL).await;
             continue;
         };
-        if open_links.get() >= max_links {
-            continue;
-        }
-        open_links.set(open_links.get() + 1);
-        let task = serve_accepted(context.clone(), stream, open_links.clone());
+        let task = serve_accepted(
+            context.clone(),
+            stream,
+            unidentified.enter(),
+            accepted_links.clone(),
+        );
         context.executor.spawn(task).detach();
+        accepted += 1;
+        if accepted.is_multiple_of(ACCEPTS_BEFORE_YIELD) {
+            yield_now().await;
+        }
+    }
+}
+
+/// Numbers of open links that each member has opened.
+#[derive(Clone, Default)]
+struct AcceptedLinks(Rc<RefCell<BTreeMap<MemberId, usize>>>);
+
+/// Counts a link as open until it is dropped.
+struct AcceptedLinkGuard {
+    links: AcceptedLinks,
+    member: MemberId,
+}
+
+impl AcceptedLinks {
+    /// Counts a link of the member; `None` at the limit.
+    fn open(&self, member: MemberId) -> Option<AcceptedLinkGuard> {
+        let mut counts = self.0.borrow_mut();
+        let count = counts.entry(member).or_default();
+        if *count == MAX_ACCEPTED_LINKS_PER_MEMBER {
+            return None;
+        }
+        *count += 1;
+        Some(AcceptedLinkGuard {
+            links: self.clone(),
+            member,
+        })
+    }
+}
+
+impl Drop for AcceptedLinkGuard {
+    fn drop(&mut self) {
+        let mut counts = self.links.0.borrow_mut();
+        if let Some(count) = counts.get_mut(&self.member) {
+            *count -= 1;
+        }
     }
 }
 
 async fn serve_accepted(
     context: Rc<PeerContext>,
     stream: Async<TcpStream>,
-    open_links: Rc<Cell<usize>>,
+    unidentified: UnidentifiedConnection,
+    accepted_links: AcceptedLinks,
 ) {
-    serve_if_compatible(&context, stream).await;
-    open_links.set(open_links.get() - 1);
-}
-
-async fn serve_if_compatible(context: &Rc<PeerContext>, stream: Async<TcpStream>) {
     let _ = stream.get_ref().set_nodelay(true);
     let mut input = BytesMut::new();
-    let Some(member) = read_hello(context, &stream, &mut input).await else {
+    let evicted = async {
+        unidentified.evicted().await;
+        None
+    };
+    let hello = read_hello(&context, &stream, &mut input);
+    let Some(member) = hello.or(evicted).await else {
+        return;
+    };
+    drop(unidentified);
+    let Some(_open) = accepted_links.open(member) else {
         return;
     };
     let (outbox, queue) = Outbox::new(context.next_serial());
@@ -114,7 +167,9 @@
         Timer::after(HELLO_TIMEOUT).await;
         None
     };
-    let first = read_frame(context, stream, input).or(timeout).await?;
+    let first = read_frame(context, stream, input, MAX_HELLO_BYTES)
+        .or(timeout)
+        .await?;
     context.validate_hello(&first)
 }
 
@@ -122,9 +177,10 @@
     context: &PeerContext,
     stream: &Async<TcpStream>,
     input: &mut BytesMut,
+    max_bytes: usize,
 ) -> Option<Frame> {
     loop {
-        match decode_frame(input) {
+        match decode_frame(input, max_bytes) {
             Ok(Some(frame)) => return Some(frame),
             Ok(None) => {}
             Err(_) => return None,
@@ -242,7 +298,7 @@
             Timer::at(silence_deadline).await;
             None
         };
-        read_frame(&self.context, &self.stream, input)
+        read_frame(&self.context, &self.stream, input, MAX_FRAME_BYTES)
             .or(silent)
             .await
     }
--- a/crates/ivypitch-gateway/src/actors/peer_links/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/peer_links/mod.rs
@@ -7,6 +7,7 @@
 mod datagrams;
 mod links;
 mod messages;
+mod unidentified;
 
 use std::io;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
@@ -26,6 +27,7 @@
 pub use self::links::LinkSerial;
 use self::links::LinkTable;
 pub use self::messages::{AcceptedLink, GossipGuard, MessageGuard, PeerEvent, PeerLinksMessage};
+pub(crate) use self::unidentified::MAX_UNIDENTIFIED_CONNECTIONS;
 use super::messages::SchedulerMessage;
 use crate::lifecycle::clock::Clock;
 use crate::state::traffic::Traffic;
--- a/crates/ivypitch-gateway/src/lifecycle/bounds.rs
+++ b/crates/ivypitch-gateway/src/lifecycle/bounds.rs
@@ -45,4 +45,11 @@
             discovery_line_bytes: memory_bytes / 32,
         }
     }
+
+    /// Keeps descriptors for this many links to other gateways, which half of the connections to
+    /// engines give way for at most.
+    pub fn reserve_peer_links(&mut self, links: usize) {
+        let reserved = links.min(self.engine_connections / 2);
+        self.engine_connections -= reserved;
+    }
 }
--- a/crates/ivypitch-gateway/src/lifecycle/startup.rs
+++ b/crates/ivypitch-gateway/src/lifecycle/startup.rs
@@ -25,7 +25,7 @@
 use super::reload::TeamBudgets;
 use crate::actors::discovery::{DiscoveryActor, DiscoveryMessage, DiscoveryParams};
 use crate::actors::messages::SchedulerMessage;
-use crate::actors::peer_links::BindError;
+use crate::actors::peer_links::{BindError, MAX_UNIDENTIFIED_CONNECTIONS};
 use crate::actors::scheduler::{SchedulerActor, SchedulerActorParams};
 use crate::actors::session::Sessions;
 use crate::state::connections::ConnectionCounters;
@@ -68,11 +68,14 @@
     /// SIGTERM or SIGINT arrived first. Without `operator`, all features that it configures are
     /// off.
     pub fn start(
-        configuration: Configuration,
+        mut configuration: Configuration,
         operator: Option<LoadedOperatorConfig>,
         clock: Clock,
         mut signals: Signals,
     ) -> Result<Option<Gateway>, StartupError> {
+        configuration
+            .bounds
+            .reserve_peer_links(max_peer_links(operator.as_ref()));
         let address = configuration.listen;
         let Some(listener) = accept::bind(address, &mut signals)? else {
             return Ok(None);
@@ -281,6 +284,14 @@
     })
 }
 
+/// Links to other gateways, and connections that have not said from which one they are.
+fn max_peer_links(operator: Option<&LoadedOperatorConfig>) -> usize {
+    let peers = operator.and_then(|operator| operator.config.peers.as_ref());
+    peers.filter(|peers| peers.enabled).map_or(0, |peers| {
+        peers.member_count() + MAX_UNIDENTIFIED_CONNECTIONS
+    })
+}
+
 /// Limits open statements to the maximum number of clients with one.
 fn limit_open_statements(deployment: &mut DeploymentConfig, clients: usize) {
     let limit = &mut deployment.scheduler.max_open_statements;
--- a/crates/ivypitch-gateway/src/wire/peer_frames.rs
+++ b/crates/ivypitch-gateway/src/wire/peer_frames.rs
@@ -10,6 +10,8 @@
 
 /// Maximum frame size, enough for a result and its metadata; a longer frame closes the link.
 pub const MAX_FRAME_BYTES: usize = 128 << 10;
+/// Maximum size of a link's first frame, which is a [`Frame::Hello`].
+pub const MAX_HELLO_BYTES: usize = 64;
 const LENGTH_BYTES: usize = size_of::<u32>();
 
 /// A frame on a link. The encoding is by position: fields and variants may be renamed, never
@@ -38,7 +40,7 @@
 /// Why bytes on a link are not a valid frame.
 #[derive(Debug, thiserror::Error, PartialEq)]
 pub enum FrameError {
-    /// The length is zero or above [`MAX_FRAME_BYTES`].
+    /// The length is zero or above the maximum.
     #[error("invalid frame length: {0} bytes")]
     Length(usize),
     /// The message cannot be decoded.
@@ -53,13 +55,14 @@
     Bytes::from([&length[..], &body].concat())
 }
 
-/// Removes the next complete frame from the front of `input`; `None` if it is incomplete.
-pub fn decode_frame(input: &mut BytesMut) -> Result<Option<Frame>, FrameError> {
+/// Removes the next complete frame from the front of `input`; `None` if it is incomplete. A frame
+/// longer than `max_bytes` is an error as soon as its length has arrived.
+pub fn decode_frame(input: &mut BytesMut, max_bytes: usize) -> Result<Option<Frame>, FrameError> {
     let Some(length) = input.first_chunk::<LENGTH_BYTES>() else {
         return Ok(None);
     };
     let length = u32::from_le_bytes(*length) as usize;
-    if length == 0 || length > MAX_FRAME_BYTES {
+    if length == 0 || length > max_bytes {
         return Err(FrameError::Length(length));
     }
     if input.len() < LENGTH_BYTES + length {
--- a/crates/ivypitch-gateway/tests/recorded_peer_messages.rs
+++ b/crates/ivypitch-gateway/tests/recorded_peer_messages.rs
@@ -57,7 +57,7 @@
     for (frame, recorded) in recorded {
         assert_eq!(hex(&encode_frame(&frame)), recorded, "{frame:?}");
         let mut input = BytesMut::from(&bytes(recorded)[..]);
-        let decoded = decode_frame(&mut input).unwrap().unwrap();
+        let decoded = decode_frame(&mut input, MAX_FRAME_BYTES).unwrap().unwrap();
         assert_eq!(format!("{decoded:?}"), format!("{frame:?}"));
         assert!(input.is_empty());
     }
@@ -94,7 +94,7 @@
     );
     let mut oversized = BytesMut::from(&bytes("01000200")[..]);
     assert_eq!(
-        decode_frame(&mut oversized).unwrap_err(),
+        decode_frame(&mut oversized, MAX_FRAME_BYTES).unwrap_err(),
         FrameError::Length(131_073)
     );
 }
--- a/crates/ivypitch-testbed/src/processes/simulated_gateways/links.rs
+++ b/crates/ivypitch-testbed/src/processes/simulated_gateways/links.rs
@@ -4,7 +4,7 @@
 
 use bytes::BytesMut;
 use ivypitch_gateway::actors::peer_links::PeerLinksMessage;
-use ivypitch_gateway::wire::peer_frames::{Frame, decode_frame, encode_frame};
+use ivypitch_gateway::wire::peer_frames::{Frame, MAX_FRAME_BYTES, decode_frame, encode_frame};
 use ivypitch_types::MemberId;
 use smol::channel::{self, Receiver, Sender};
 
@@ -80,7 +80,7 @@
     fn hand_over(&self, from: MemberId, to: MemberId, frame: &Frame) {
         let mut bytes = BytesMut::from(&encode_frame(frame)[..]);
         let length = bytes.len() as u64;
-        let Ok(Some(frame)) = decode_frame(&mut bytes) else {
+        let Ok(Some(frame)) = decode_frame(&mut bytes, MAX_FRAME_BYTES) else {
             return;
         };
         let is_delivered = self.inboxes.get(self.position(to)).is_some_and(|inbox| {
--- a/crates/ivypitch-testbed/src/processes/usage.rs
+++ b/crates/ivypitch-testbed/src/processes/usage.rs
@@ -37,6 +37,12 @@
         .map(|kilobytes| kilobytes << 10)
 }
 
+/// The most memory that a process has had resident so far; `None`: it has ended.
+pub fn peak_resident_bytes(pid: u32) -> Option<u64> {
+    let proc = Path::new("/proc").join(pid.to_string());
+    read_bytes(&proc.join("status"), "VmHWM:")
+}
+
 /// CPU time of a process by `stat`, over all its threads.
 pub fn cpu_ticks_ns(pid: u32) -> Option<u64> {
     let text = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
--- a/crates/ivypitch-testbed/src/test_servers/gateway.rs
+++ b/crates/ivypitch-testbed/src/test_servers/gateway.rs
@@ -108,6 +108,11 @@
         Gateway::spawn(config, Some((extension, own)))
     }
 
+    /// Process id of the gateway.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Replaces the operator's settings file.
     pub fn write_own_settings(&self, own: &str) {
         std::fs::write(self.config_path.with_extension("own.json"), own).unwrap();
