Let other tasks run between the messages of a peer that sends at full speed

Seen: beside one connection to the port for peers that sends heartbeats at full speed, usual clients got no answer and none was accepted. Cause: the task that reads a link gave up its turn on the one thread only to wait for bytes, which were always there; the actor of the datagrams had the same loop. Change: both loops yield after 32 messages. Why it works: a turn is now bounded by messages, whatever a sender does. Cost: a turn of the executor each 32 messages among gateways; nothing a statement without peers.

--- a/crates/ivypitch-cli/tests/limits/common.rs
+++ b/crates/ivypitch-cli/tests/limits/common.rs
@@ -99,11 +99,15 @@
         limited
     }
 
-    /// Waits until statements no longer wait for the other members, as they do after the start.
+    /// Waits until no statement waits for the other members, as each does after the start whose voter
+    /// is another member.
     fn wait_until_joined(&self) {
-        let first = statement("lookup", u64::MAX, STATEMENT_TIMEOUT_MS);
-        let answer = Client::connect(&self.gateway).execute(&first);
-        assert!(matches!(answer, Answer::Rows(_)), "{answer:?}");
+        let mut client = Client::connect(&self.gateway);
+        for n in 0..16 {
+            let first = statement("lookup", u64::MAX - n, STATEMENT_TIMEOUT_MS);
+            let answer = client.execute(&first);
+            assert!(matches!(answer, Answer::Rows(_)), "{answer:?}");
+        }
     }
 
     /// The first frame of a link from a process of the other member.
--- a/crates/ivypitch-cli/tests/limits/main.rs
+++ b/crates/ivypitch-cli/tests/limits/main.rs
@@ -3,4 +3,5 @@
 //! test checks the memory and the answers to usual clients.
 
 mod common;
+mod floods;
 mod memory;
--- a/crates/ivypitch-gateway/src/actors/peer_links/connection.rs
+++ b/crates/ivypitch-gateway/src/actors/peer_links/connection.rs
@@ -12,6 +12,7 @@
 use futures_lite::{AsyncWriteExt, FutureExt, future::yield_now};
 use ivypitch_types::MemberId;
 
+use super::MESSAGES_BEFORE_YIELD;
 use super::context::PeerContext;
 use super::links::{LinkSerial, Outbox};
 use super::messages::{AcceptedLink, MessageGuard, PeerEvent, PeerLinksMessage};
@@ -279,6 +280,7 @@
     async fn read_frames(&self, input: &mut BytesMut, mut handshake: Handshake) {
         let (unhandled, guard_slots) = async_channel::bounded(MAX_UNHANDLED_MESSAGES);
         let mut silence_deadline = Instant::now() + SILENCE_TIMEOUT;
+        let mut frames: usize = 0;
         while let Some(frame) = self.read_until(input, silence_deadline).await {
             if handshake == Handshake::Expected
                 && self.context.validate_hello(&frame) != Some(self.member)
@@ -290,6 +292,10 @@
                 return;
             }
             silence_deadline = Instant::now() + SILENCE_TIMEOUT;
+            frames += 1;
+            if frames.is_multiple_of(MESSAGES_BEFORE_YIELD) {
+                yield_now().await;
+            }
         }
     }
 
--- a/crates/ivypitch-gateway/src/actors/peer_links/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/peer_links/mod.rs
@@ -16,7 +16,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future::yield_now};
 use ivypitch_membership::{
     MemberList, Membership, MembershipConfig, MembershipEvent, MembershipParams,
 };
@@ -37,6 +37,9 @@
 pub const PROTOCOL_VERSION: u16 =
     ivypitch_ownership::VERSION * 100 + ivypitch_coordination::PROTOCOL_VERSION;
 
+/// Messages handled in a row, from one source, before other tasks may run.
+const MESSAGES_BEFORE_YIELD: usize = 32;
+
 /// Parameters of [`PeerLinks`].
 pub struct PeerLinksParams {
     /// The gateways of the fleet.
@@ -130,7 +133,12 @@
 
     async fn run(mut self, messages: Receiver<PeerLinksMessage>) {
         let mut buffer = [0; MAX_DATAGRAM_BYTES];
+        let mut wakeups: usize = 0;
         loop {
+            wakeups += 1;
+            if wakeups.is_multiple_of(MESSAGES_BEFORE_YIELD) {
+                yield_now().await;
+            }
             self.apply_membership();
             let wakeup = self.next_wakeup(&messages, &mut buffer).await;
             let now = self.context.clock.now();
