Report a member with another version or list at most once in ten seconds

Seen: 151,814 log lines in 3 s beside one sender of datagrams, 632 beside one that opened links (release build). Cause: each incarnation was reported once, and its sender chooses it. Change: IncompatibleReports decides for links and datagrams: each process once, each member at most once in ten seconds. Why it works: the number of lines is bounded by the members and the time. Cost: none a statement.

--- a/crates/ivypitch-cli/tests/limits/floods.rs
+++ b/crates/ivypitch-cli/tests/limits/floods.rs
@@ -160,7 +160,7 @@
     });
 }
 
-/// Guards against answers that come late beside links that begin with
+/// Guards against answers that come late, and log lines without end, beside links that begin with
 /// ever new incarnations or with what is no frame.
 #[test_case(true; "of another version")]
 #[test_case(false; "without a frame")]
@@ -183,6 +183,15 @@
             }
         }
     });
+    check_log_lines(&limited);
+}
+
+/// The number of lines for the incompatible member does not depend on how often it tries.
+fn check_log_lines(limited: &LimitedGateway) {
+    const MAX_LINES: usize = 40;
+    let lines = limited.gateway.log.all();
+    println!("log lines: {}", lines.len());
+    assert!(lines.len() <= MAX_LINES, "{} lines", lines.len());
 }
 
 /// What datagrams contain, by their number.
@@ -193,7 +202,7 @@
     EverNewIncarnations,
 }
 
-/// Guards against answers that come late beside a sender of datagrams at
+/// Guards against answers that come late, and log lines without end, beside a sender of datagrams at
 /// full speed.
 #[test_case(Datagram::Noise, 1; "noise")]
 #[test_case(Datagram::Noise, 10; "noise of ten senders")]
@@ -218,4 +227,5 @@
             let _ = socket.send_to(bytes, address);
         }
     });
+    check_log_lines(&limited);
 }
--- a/crates/ivypitch-gateway/src/actors/peer_links/context.rs
+++ b/crates/ivypitch-gateway/src/actors/peer_links/context.rs
@@ -1,14 +1,13 @@
 //! State that the parts of the peer links share.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
 use std::rc::Rc;
 
 use async_channel::Sender;
 use async_executor::LocalExecutor;
 use bytes::Bytes;
-use ivypitch_membership::MemberList;
-use ivypitch_types::{Incarnation, MemberId, ProcessId};
+use ivypitch_membership::{IncompatibleReports, MemberList};
+use ivypitch_types::{MemberId, ProcessId};
 
 use super::PROTOCOL_VERSION;
 use super::links::LinkSerial;
@@ -27,9 +26,8 @@
     pub(super) executor: Rc<LocalExecutor<'static>>,
     pub(super) traffic: Rc<Traffic>,
     last_serial: Cell<LinkSerial>,
-    /// The last process of each member whose link was rejected, so that each rejection is logged
-    /// once.
-    last_rejected: RefCell<BTreeMap<MemberId, Incarnation>>,
+    /// Limits the log lines about rejected links.
+    rejected_links: RefCell<IncompatibleReports>,
 }
 
 /// Parameters of a [`PeerContext`].
@@ -45,6 +43,7 @@
 
 impl PeerContext {
     pub(super) fn new(params: PeerContextParams) -> PeerContext {
+        let rejected_links = RefCell::new(IncompatibleReports::new(params.members.len()));
         PeerContext {
             members: params.members,
             own_process: params.own_process,
@@ -54,7 +53,7 @@
             executor: params.executor,
             traffic: params.traffic,
             last_serial: Cell::new(LinkSerial(0)),
-            last_rejected: RefCell::default(),
+            rejected_links,
         }
     }
 
@@ -104,9 +103,8 @@
         if is_compatible && member != self.own_process.member {
             return is_listed.then_some(member);
         }
-        if is_listed
-            && self.last_rejected.borrow_mut().insert(member, incarnation) != Some(incarnation)
-        {
+        let mut rejected_links = self.rejected_links.borrow_mut();
+        if rejected_links.should_report(self.clock.now(), member, incarnation) {
             log::warn!(
                 member = self.name(member), version, own_version = PROTOCOL_VERSION,
                 list:% = format_args!("{list_fingerprint:08x}"), own_list:% = format_args!("{own_fingerprint:08x}");
--- a/crates/ivypitch-membership/src/lib.rs
+++ b/crates/ivypitch-membership/src/lib.rs
@@ -11,6 +11,7 @@
 mod config;
 mod connectivity;
 mod identity;
+mod incompatible_reports;
 mod member_list;
 mod membership;
 mod partition_suspicion;
@@ -20,6 +21,7 @@
 pub use config::MembershipConfig;
 pub use connectivity::Connectivity;
 pub use identity::MemberIdentity;
+pub use incompatible_reports::IncompatibleReports;
 pub use member_list::{MemberAddress, MemberList};
 pub use membership::{Membership, MembershipEvent, MembershipParams};
 pub use partition_suspicion::PartitionSuspicion;
--- a/crates/ivypitch-membership/src/membership.rs
+++ b/crates/ivypitch-membership/src/membership.rs
@@ -11,8 +11,8 @@
 use crate::status::{LivenessChange, Transition};
 use crate::swim_runtime::{SwimNotification, SwimRuntime};
 use crate::{
-    Connectivity, MemberIdentity, MemberList, MemberStatus, MembershipConfig, OutgoingDatagram,
-    PartitionSuspicion,
+    Connectivity, IncompatibleReports, MemberIdentity, MemberList, MemberStatus, MembershipConfig,
+    OutgoingDatagram, PartitionSuspicion,
 };
 
 /// Maximum number of members that a join request is sent to at a time while no other member is
@@ -32,8 +32,8 @@
     MemberDown(ProcessId),
     /// The suspicion that this gateway is partitioned has changed.
     PartitionSuspicionChanged(PartitionSuspicion),
-    /// A process has another protocol version or member list, and is ignored. Reported once for
-    /// each process.
+    /// A process has another protocol version or member list, and is ignored. Reported as
+    /// [`IncompatibleReports`] allows.
     IncompatibleMember {
         /// Member id that the process uses.
         member: MemberId,
@@ -68,8 +68,7 @@
     own_identity: MemberIdentity,
     /// Status of each member.
     statuses: Vec<MemberStatus>,
-    /// By member: the incompatible process that was last reported.
-    last_reported_incompatible: Vec<Incarnation>,
+    incompatible_reports: IncompatibleReports,
     partition_detector: PartitionDetector,
     partition_suspicion: PartitionSuspicion,
     changed_at: Nanos,
@@ -107,7 +106,7 @@
             runtime: SwimRuntime::new(now),
             own_identity,
             statuses: vec![MemberStatus::default(); member_list.len()],
-            last_reported_incompatible: vec![Incarnation(0); member_list.len()],
+            incompatible_reports: IncompatibleReports::new(member_list.len()),
             member_list,
             partition_detector: PartitionDetector::new(now, config.probe_interval),
             partition_suspicion: PartitionSuspicion::None,
@@ -175,7 +174,7 @@
             return;
         }
         if !from.is_compatible_with(&self.own_identity) {
-            self.report_incompatible(from);
+            self.report_incompatible(now, from);
             return;
         }
         self.partition_detector.on_datagram(now);
@@ -260,12 +259,13 @@
         }
     }
 
-    fn report_incompatible(&mut self, from: MemberIdentity) {
-        let reported = &mut self.last_reported_incompatible[from.member.as_usize()];
-        if *reported == from.incarnation {
+    fn report_incompatible(&mut self, now: Nanos, from: MemberIdentity) {
+        if !self
+            .incompatible_reports
+            .should_report(now, from.member, from.incarnation)
+        {
             return;
         }
-        *reported = from.incarnation;
         self.events.push_back(MembershipEvent::IncompatibleMember {
             member: from.member,
             protocol_version: from.protocol_version,
