Bound what is kept about statements for other gateways by the memory

Cause: the vote log and the ended statements were bounded by 200,000 statements, the cached results by 4 MB a customer, whatever the memory is. Evidence: the cases "loads" of tests/limits/floods.rs fail with that program. Change: a quarter of the memory: the vote log half of it in bytes, ended statements and all cached results a quarter each. In a full log idempotent statements give way, since they can run again; a load without a place gets no grant. Why it works: every insertion passes VoteLog::merge, which counts. Cost: two additions a record; not measured by itself.

--- a/crates/ivypitch-cli/tests/limits/floods.rs
+++ b/crates/ivypitch-cli/tests/limits/floods.rs
@@ -15,15 +15,18 @@
 
 /// How long the sender sends.
 const FLOOD: Duration = Duration::from_secs(3);
+/// How long loads are sent, which peers remember.
+const LOAD_FLOOD: Duration = Duration::from_secs(10);
 /// Messages with a content of their own.
 const MESSAGES: u64 = 20_000;
 /// Bytes that the sender writes at a time.
 const WRITE_BYTES: usize = 32 << 10;
 
-/// Runs `senders` times `send` until the usual client has been served for [`FLOOD`].
+/// Runs `senders` times `send` until the usual client has been served for `time`.
 fn serve_beside(
     limited: &LimitedGateway,
     senders: usize,
+    time: Duration,
     send: impl Fn(usize, &AtomicBool) + Send + Sync + 'static,
 ) {
     let has_ended = Arc::new(AtomicBool::new(false));
@@ -34,7 +37,7 @@
             thread::spawn(move || send(n, &has_ended))
         })
         .collect();
-    let longest = limited.serve_usual_client_for(FLOOD);
+    let longest = limited.serve_usual_client_for(time);
     has_ended.store(true, Ordering::SeqCst);
     for thread in threads {
         thread.join().unwrap();
@@ -77,7 +80,7 @@
 fn usual_clients_are_served_beside_one_that_sends_many_commands(command: Vec<u8>, senders: usize) {
     let limited = LimitedGateway::start();
     let address = limited.gateway.address;
-    serve_beside(&limited, senders, move |_, has_ended| {
+    serve_beside(&limited, senders, FLOOD, move |_, has_ended| {
         write_again_and_again(address, &login("app"), &command, has_ended);
     });
 }
@@ -130,19 +133,23 @@
 
 /// Guards against memory that grows, or answers that come late, beside clients that send small
 /// statements under ever new names.
-#[test_case(with_kind, 1; "kinds")]
-#[test_case(with_owner, 1; "owners")]
-#[test_case(with_field, 1; "fields")]
-#[test_case(with_table_group, 1; "table groups")]
-#[test_case(with_table_group, 10; "table groups of ten clients")]
-#[test_case(with_ordering_key, 1; "ordering keys")]
-#[test_case(kill, 1; "connections to kill")]
-#[test_case(load, 1; "loads")]
-#[test_case(load, 10; "loads of ten clients")]
-fn usual_clients_are_served_beside_ever_new_names(text: fn(u64) -> String, senders: usize) {
+#[test_case(with_kind, 1, FLOOD; "kinds")]
+#[test_case(with_owner, 1, FLOOD; "owners")]
+#[test_case(with_field, 1, FLOOD; "fields")]
+#[test_case(with_table_group, 1, FLOOD; "table groups")]
+#[test_case(with_table_group, 10, FLOOD; "table groups of ten clients")]
+#[test_case(with_ordering_key, 1, FLOOD; "ordering keys")]
+#[test_case(kill, 1, FLOOD; "connections to kill")]
+#[test_case(load, 1, LOAD_FLOOD; "loads")]
+#[test_case(load, 10, LOAD_FLOOD; "loads of ten clients")]
+fn usual_clients_are_served_beside_ever_new_names(
+    text: fn(u64) -> String,
+    senders: usize,
+    time: Duration,
+) {
     let limited = LimitedGateway::start();
     let address = limited.gateway.address;
-    serve_beside(&limited, senders, move |sender, has_ended| {
+    serve_beside(&limited, senders, time, move |sender, has_ended| {
         let first = (sender as u64) << 32;
         execute_again_and_again(address, |n| text(first + n), has_ended);
     });
@@ -154,7 +161,7 @@
 fn usual_clients_are_served_beside_a_peer_that_sends_many_frames(senders: usize) {
     let limited = LimitedGateway::start();
     let (address, hello) = (limited.peers_port, limited.hello(7));
-    serve_beside(&limited, senders, move |_, has_ended| {
+    serve_beside(&limited, senders, FLOOD, move |_, has_ended| {
         let heartbeat = encode_frame(&Frame::Heartbeat);
         write_again_and_again(address, &hello, &heartbeat, has_ended);
     });
@@ -173,7 +180,7 @@
             false => vec![0xff; 64],
         })
         .collect();
-    serve_beside(&limited, 1, move |_, has_ended| {
+    serve_beside(&limited, 1, FLOOD, move |_, has_ended| {
         for bytes in first_frames.iter().cycle() {
             if has_ended.load(Ordering::SeqCst) {
                 return;
@@ -218,7 +225,7 @@
             Datagram::EverNewIncarnations => limited.incompatible_datagram(n),
         })
         .collect();
-    serve_beside(&limited, senders, move |_, has_ended| {
+    serve_beside(&limited, senders, FLOOD, move |_, has_ended| {
         let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
         for bytes in datagrams.iter().cycle() {
             if has_ended.load(Ordering::SeqCst) {
--- a/crates/ivypitch-gateway/src/lifecycle/bounds.rs
+++ b/crates/ivypitch-gateway/src/lifecycle/bounds.rs
@@ -25,6 +25,9 @@
     pub message_bytes: usize,
     /// Maximum bytes of a line from the discovery service.
     pub discovery_line_bytes: usize,
+    /// Maximum bytes of all that is kept about statements for other gateways: a quarter of the
+    /// memory.
+    pub ownership_bytes: usize,
 }
 
 impl Bounds {
@@ -43,6 +46,7 @@
                 .max(1),
             message_bytes: (memory_bytes / 8 / sessions.max(1)).min(MAX_STATEMENT_BYTES),
             discovery_line_bytes: memory_bytes / 32,
+            ownership_bytes: memory_bytes / 4,
         }
     }
 
--- a/crates/ivypitch-gateway/src/lifecycle/peers.rs
+++ b/crates/ivypitch-gateway/src/lifecycle/peers.rs
@@ -37,6 +37,8 @@
     pub(super) position: u64,
     pub(super) tenants: &'a [String],
     pub(super) max_statement_timeout: Nanos,
+    /// Maximum bytes of all that is kept for other gateways.
+    pub(super) ownership_bytes: usize,
     pub(super) clock: Clock,
     pub(super) scheduler: Sender<SchedulerMessage>,
     pub(super) discovery: Sender<DiscoveryMessage>,
@@ -110,7 +112,8 @@
     }
 
     fn create_ownership(&self, settings: &OwnershipSettings, fleet: &Fleet) -> OwnershipDriver {
-        let config = settings.config(self.max_statement_timeout);
+        let mut config = settings.config(self.max_statement_timeout);
+        config.limit_memory(self.ownership_bytes, self.tenants.len());
         let ownership = Ownership::new(fleet.process, fleet.zones.clone(), config, fleet.now);
         let min_lookup_work = settings.min_lookup_work();
         OwnershipDriver::new(ownership, fleet.links.clone(), min_lookup_work)
--- a/crates/ivypitch-gateway/src/lifecycle/startup.rs
+++ b/crates/ivypitch-gateway/src/lifecycle/startup.rs
@@ -196,6 +196,7 @@
             position: self.position,
             tenants,
             max_statement_timeout: self.max_statement_timeout,
+            ownership_bytes: self.bounds.ownership_bytes,
             clock: self.clock,
             scheduler: self.scheduler.clone(),
             discovery: self.discovery.clone(),
--- a/crates/ivypitch-ownership/src/config.rs
+++ b/crates/ivypitch-ownership/src/config.rs
@@ -46,6 +46,28 @@
     pub result_cache_bytes_per_tenant: usize,
     /// Maximum number of statements in the vote log, and of ended statements that are kept.
     pub max_entries: usize,
+    /// Maximum size of the vote log in bytes, including overhead.
+    pub max_vote_log_bytes: usize,
+    /// Maximum number of ended statements that are kept; their voters still know how they ended.
+    pub max_ended_statements: usize,
+}
+
+/// Approximate memory of an ended statement: its state, its grants and its place in the tables.
+const ENDED_STATEMENT_BYTES: usize = 1024;
+
+impl OwnershipConfig {
+    /// Lowers the bounds of all tables so that together they take about `bytes`: half for the vote
+    /// log, a quarter for ended statements, and a quarter for the cached results of all tenants.
+    pub fn limit_memory(&mut self, bytes: usize, tenants: usize) {
+        let quarter = bytes / 4;
+        self.max_vote_log_bytes = self.max_vote_log_bytes.min(2 * quarter);
+        self.max_ended_statements = self
+            .max_ended_statements
+            .min(quarter / ENDED_STATEMENT_BYTES);
+        self.result_cache_bytes_per_tenant = self
+            .result_cache_bytes_per_tenant
+            .min(quarter / tenants.max(1));
+    }
 }
 
 impl Default for OwnershipConfig {
@@ -65,6 +87,8 @@
             no_quorum_policy: NoQuorumPolicy::Reject,
             result_cache_bytes_per_tenant: 4 << 20,
             max_entries: 200_000,
+            max_vote_log_bytes: 256 << 20,
+            max_ended_statements: 200_000,
         }
     }
 }
--- a/crates/ivypitch-ownership/src/ownership.rs
+++ b/crates/ivypitch-ownership/src/ownership.rs
@@ -229,7 +229,8 @@
         while let Some(id) = self.recent_completions.pop_expired(now, max_entries) {
             self.vote_log.drop_request(id);
         }
-        self.statements.evict_ended(max_entries);
+        self.statements
+            .evict_ended(self.config.max_ended_statements.min(max_entries));
     }
 
     pub(crate) fn apply_records(&mut self, now: Nanos, records: &[StatementRecord]) {
--- a/crates/ivypitch-ownership/src/vote_log.rs
+++ b/crates/ivypitch-ownership/src/vote_log.rs
@@ -4,7 +4,7 @@
 //! votes; it abstains until other members have transferred every record that it may have voted on,
 //! or until no statement of that time can still be open.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use ivypitch_types::{MemberId, Nanos, ProcessId};
 
@@ -37,6 +37,8 @@
     pub retention: Nanos,
     /// Maximum number of statements in the log.
     pub max_entries: usize,
+    /// Maximum size of the log in bytes, including overhead.
+    pub max_bytes: usize,
 }
 
 impl From<&OwnershipConfig> for VoteLogConfig {
@@ -46,6 +48,7 @@
             max_statement_timeout: config.max_statement_timeout,
             retention: config.retention,
             max_entries: config.max_entries,
+            max_bytes: config.max_vote_log_bytes,
         }
     }
 }
@@ -57,7 +60,12 @@
     /// Entries are removed once the statement's client can't return any more.
     entries: BTreeMap<StatementId, VoteLogEntry>,
     expiries: BTreeSet<(Nanos, StatementId)>,
+    /// Idempotent statements, oldest first; those that were removed go with the older ones.
+    idempotent_by_age: VecDeque<StatementId>,
     max_entries: usize,
+    max_bytes: usize,
+    /// Approximate size of all entries.
+    bytes: usize,
     retention: Nanos,
     /// Until this time the voter abstains on everything.
     abstains_until: Nanos,
@@ -78,7 +86,10 @@
             member,
             entries: BTreeMap::new(),
             expiries: BTreeSet::new(),
+            idempotent_by_age: VecDeque::new(),
             max_entries: config.max_entries,
+            max_bytes: config.max_bytes,
+            bytes: 0,
             retention: config.retention,
             abstains_until,
             complete_from: abstains_until + config.max_statement_timeout + config.retention,
@@ -259,14 +270,21 @@
     fn merge(&mut self, now: Nanos, record: &StatementRecord) -> Option<&mut VoteLogEntry> {
         let id = record.id;
         if !self.entries.contains_key(&id) {
-            if self.entries.len() >= self.max_entries {
+            let mut entry = VoteLogEntry::new(now, record.epoch);
+            entry.merge(now, record);
+            if !self.make_space(entry.bytes()) {
                 return None;
             }
-            self.entries
-                .insert(id, VoteLogEntry::new(now, record.epoch));
+            if entry.is_idempotent() {
+                self.idempotent_by_age.push_back(id);
+            }
+            self.bytes += entry.bytes();
+            self.entries.insert(id, entry);
         }
         let entry = self.entries.get_mut(&id)?;
+        self.bytes -= entry.bytes();
         entry.merge(now, record);
+        self.bytes += entry.bytes();
         let expires_at = entry.deadline.max(now) + self.retention;
         if expires_at > entry.expires_at {
             self.expiries.remove(&(entry.expires_at, id));
@@ -276,16 +294,31 @@
         Some(entry)
     }
 
+    /// Makes space for an entry of this size. The oldest idempotent statements give way, since they
+    /// may run again. Returns false if there is still no space.
+    fn make_space(&mut self, bytes: usize) -> bool {
+        while self.entries.len() >= self.max_entries || self.bytes + bytes > self.max_bytes {
+            let Some(oldest) = self.idempotent_by_age.pop_front() else {
+                return false;
+            };
+            self.remove(oldest);
+        }
+        true
+    }
+
     /// Drops the request, which is no longer needed to poll the statement's engine.
     pub fn drop_request(&mut self, id: StatementId) {
         if let Some(entry) = self.entries.get_mut(&id) {
+            self.bytes -= entry.bytes();
             entry.drop_request();
+            self.bytes += entry.bytes();
         }
     }
 
     /// Removes a statement.
     pub fn remove(&mut self, id: StatementId) {
         if let Some(entry) = self.entries.remove(&id) {
+            self.bytes -= entry.bytes();
             self.expiries.remove(&(entry.expires_at, id));
         }
     }
@@ -294,7 +327,12 @@
     pub fn evict_expired(&mut self, now: Nanos) {
         while let Some(&(at, id)) = self.expiries.first().filter(|(at, _)| *at <= now) {
             self.expiries.remove(&(at, id));
-            self.entries.remove(&id);
+            self.remove(id);
+        }
+        while let Some(id) = self.idempotent_by_age.front()
+            && !self.entries.contains_key(id)
+        {
+            self.idempotent_by_age.pop_front();
         }
     }
 
--- a/crates/ivypitch-ownership/src/vote_log_entry.rs
+++ b/crates/ivypitch-ownership/src/vote_log_entry.rs
@@ -6,6 +6,10 @@
     AttemptGrant, Epoch, StatementEnd, StatementId, StatementRecord, StatementSpec,
 };
 
+/// Approximate memory of an entry without its request and grants: the entry, and its places in the
+/// maps by id and by expiry.
+const ENTRY_BYTES: usize = 512;
+
 /// The register of one statement.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct VoteLogEntry {
@@ -31,6 +35,17 @@
         }
     }
 
+    /// Whether the statement is known to be idempotent.
+    pub(crate) fn is_idempotent(&self) -> bool {
+        self.spec.as_ref().is_some_and(|spec| spec.is_idempotent)
+    }
+
+    /// Approximate size of the entry with its place in the log.
+    pub(crate) fn bytes(&self) -> usize {
+        let request = self.spec.as_ref().map_or(0, |spec| spec.request.len());
+        ENTRY_BYTES + request + self.grants.len() * size_of::<AttemptGrant>()
+    }
+
     pub(crate) fn record(&self, now: Nanos, id: StatementId) -> StatementRecord {
         let remaining_ms = (self.deadline.saturating_sub(now) / MILLISECOND) as u32;
         let spec = self.spec.clone().map(|spec| StatementSpec {
--- a/crates/ivypitch-ownership/tests/model.rs
+++ b/crates/ivypitch-ownership/tests/model.rs
@@ -163,6 +163,7 @@
             max_statement_timeout,
             retention: 0,
             max_entries: 100,
+            max_bytes: usize::MAX,
         };
         VoteLog::new(MemberId(member as u16), 0, config)
     }
@@ -458,6 +459,7 @@
             max_statement_timeout: 2_000,
             retention: 500,
             max_entries: 100,
+            max_bytes: usize::MAX,
         };
         let mut shared_log = VoteLog::new(MemberId(0), 0, config);
         let mut isolated_log = VoteLog::new(MemberId(0), 0, config);
