Give each process connection ids of its own, also with the same seed

Seen: a KILL QUERY with a connection id of the process before, at the same address, is answered OK and ends a statement of another client. Cause: the ids came from the configuration's seed and a counter, which are the same after a restart. Evidence: both cases of a_kill_for_a_connection_of_an_earlier_process_ends_no_statement fail with the old program (OK in place of 1094), with one client and forty. Change: the time of the start goes into the ids, which still never repeat within a process. Why it works: an id of another process is as likely as any other number. Cost: one hash a process.

--- a/crates/ivypitch-cli/tests/limits/main.rs
+++ b/crates/ivypitch-cli/tests/limits/main.rs
@@ -5,3 +5,4 @@
 mod common;
 mod floods;
 mod memory;
+mod replaced_processes;
--- a/crates/ivypitch-gateway/src/actors/session/admission.rs
+++ b/crates/ivypitch-gateway/src/actors/session/admission.rs
@@ -1,6 +1,7 @@
 //! All sessions together: admission, the limit on open statements, and shutdown.
 
 use std::cell::{Cell, RefCell};
+use std::hash::Hasher;
 use std::net::TcpStream;
 use std::rc::Rc;
 use std::time::Instant;
@@ -10,6 +11,8 @@
 use async_io::Async;
 use bytes::BytesMut;
 use ivypitch_config::Names;
+use ivypitch_types::Nanos;
+use siphasher::sip::SipHasher13;
 
 use super::Session;
 use crate::actors::messages::{ClientPresence, SchedulerMessage};
@@ -24,6 +27,8 @@
     clock: Clock,
     scheduler: Sender<SchedulerMessage>,
     seed: u64,
+    /// Distinguishes the connection ids of this process from those of an earlier one.
+    process_salt: u32,
     last_connection_number: Cell<u32>,
     /// Sessions by connection id. A session ends when its task is dropped.
     table: RefCell<SessionTable<SessionHandle>>,
@@ -69,6 +74,7 @@
             clock,
             scheduler,
             seed,
+            process_salt: process_salt(seed, clock.now()),
             last_connection_number: Cell::new(0),
             table: RefCell::new(SessionTable::new(bounds.clients + bounds.surplus_sessions)),
             open_statements: Cell::new(0),
@@ -133,7 +139,7 @@
             stream,
             input: BytesMut::new(),
             output: BytesMut::new(),
-            connection: connection_id(self.seed, self.last_connection_number.get()),
+            connection: connection_id(self.process_salt, self.last_connection_number.get()),
             connected_at: now,
             sequence: 0,
             state: SessionState::new(now),
@@ -238,11 +244,22 @@
     }
 }
 
-/// Derives a connection id. Ids do not repeat, and a client cannot guess other ids from its own.
-fn connection_id(seed: u64, number: u32) -> u32 {
+/// Derives a process's salt from its seed, which is the same after a restart, and its start.
+fn process_salt(seed: u64, started_at: Nanos) -> u32 {
+    let mut hasher = SipHasher13::new();
+    hasher.write_u64(seed);
+    hasher.write_u64(started_at);
+    hasher.finish() as u32
+}
+
+/// Derives a connection id. Ids do not repeat within a process, and an id of an earlier process at
+/// the same address is as unlikely as any other: a client that lost its process may still send a
+/// `KILL QUERY` for it.
+fn connection_id(process_salt: u32, number: u32) -> u32 {
     number
         .wrapping_mul(0x9e37_79b1)
         .rotate_left(15)
+        .wrapping_add(process_salt)
         .wrapping_mul(0x85eb_ca6b)
-        ^ (seed >> 16) as u32
+        ^ process_salt.rotate_left(13)
 }
