Read events of the discovery service that take longer than the watch may be silent

Seen by callers: beside a service that writes an event at 1,000 bytes a second, a quarter of all statements went to draining engines for as long as that lasted. Cause: a connection counted as silent 2 s after its last whole line, while the next was still coming, and an event announced by its number was given 0.25 s; what had come was dropped, and the service began anew. Evidence: the three cases of a_drain_whose_event_arrives_slowly_is_read fail with the old program (not read in 60 s at 4 and 16 s, and at 4 s behind its number). Change: silence is 2 s without a byte; no event is missing while a line arrives; a line may take 7 s, and the next twice as long where it took longer, up to ten minutes. Why it works: no wait depends on the size or pace of an event any more, and a connection that only drips is still left. Cost: nothing a statement.

--- a/crates/ivypitch-cli/tests/races/discovery_watch.rs
+++ b/crates/ivypitch-cli/tests/races/discovery_watch.rs
@@ -1,9 +1,13 @@
 //! The watch on the endpoint list: silence, unusable events, changes of the service.
 
+use std::io::Write;
+use std::net::TcpListener;
+use std::thread;
 use std::time::{Duration, Instant};
 
 use ivypitch_testbed::log_lines::is_event;
 use ivypitch_testbed::test_servers::*;
+use test_case::test_case;
 
 use super::common::{
     STATEMENT_TIMEOUT_MS, respond_success, rows, send_statement, start_gateway,
@@ -273,3 +277,44 @@
         .closed_connections
         .wait("close of the connection", |_| true);
 }
+
+/// Guards against a drain that is never read, because its event takes longer to arrive than a watch
+/// may be silent.
+#[test_case(8, false; "four seconds")]
+#[test_case(8, true; "four seconds behind its position")]
+#[test_case(32, false; "sixteen seconds")]
+fn a_drain_whose_event_arrives_slowly_is_read(pieces: usize, is_announced: bool) {
+    const INTERVAL: Duration = Duration::from_millis(500);
+    let (old, new) = (FakeEngine::completing(), FakeEngine::completing());
+    let endpoints = [old.row("s-1", "terminating"), new.row("s-2", "in_service")];
+    let event = endpoint_event(2, false, &endpoints);
+    // Each connection gets the event from its beginning, a piece at a time.
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            let event = event.clone();
+            thread::spawn(move || {
+                if is_announced && stream.write_all(b"2\n").is_err() {
+                    return;
+                }
+                for piece in event.as_bytes().chunks(event.len().div_ceil(pieces)) {
+                    if stream.write_all(piece).is_err() {
+                        return;
+                    }
+                    thread::sleep(INTERVAL);
+                }
+                while stream.write_all(b"2\n").is_ok() {
+                    thread::sleep(INTERVAL);
+                }
+            });
+        }
+    });
+    let config = configuration("127.0.0.1:0", &[old.row("s-1", "in_service")], None, 1024);
+    let journal = format!("\"journal\":\"{address}\"");
+    let gateway = Gateway::start_with_config(config.replace("\"journal\":\"\"", &journal));
+    gateway.log.wait("the endpoint event", |line| {
+        is_event(line, "engine added", &[("id", "s-2")])
+    });
+    assert_only_new_engine_serves(&gateway, &old, &new);
+}
--- a/crates/ivypitch-discovery/src/endpoint_watch.rs
+++ b/crates/ivypitch-discovery/src/endpoint_watch.rs
@@ -1,6 +1,6 @@
 //! State machine of the watch on the endpoint list.
 
-use ivypitch_types::{MILLISECOND, Nanos};
+use ivypitch_types::{MILLISECOND, Nanos, SECOND};
 
 use crate::backoff::Backoff;
 
@@ -10,6 +10,11 @@
 /// Maximum time between the announcement of a position and the arrival of its events.
 const MISSING_EVENTS_TIMEOUT: Nanos = 250 * MILLISECOND;
 
+/// Time within which a line must arrive completely once its first bytes have.
+const MIN_LINE_TIMEOUT: Nanos = 7 * SECOND;
+/// Limit on that time, which doubles with each line that takes longer.
+const MAX_LINE_TIMEOUT: Nanos = 600 * SECOND;
+
 /// A line received on the watch, reduced to its position.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum WatchLine {
@@ -43,6 +48,7 @@
     failures_at_position: u32,
     /// When a position was announced whose events have not arrived yet.
     events_missing_since: Option<Nanos>,
+    line_timeout: Nanos,
     backoff: Backoff,
 }
 
@@ -55,6 +61,7 @@
             subscription_position: last_position,
             failures_at_position: 0,
             events_missing_since: None,
+            line_timeout: MIN_LINE_TIMEOUT,
             backoff: Backoff::new(seed),
         }
     }
@@ -73,6 +80,7 @@
     /// Decides how to handle a line from the service, or one relayed by another gateway.
     pub fn on_line(&mut self, now: Nanos, line: WatchLine) -> WatchDecision {
         let can_skip_position = self.failures_at_position >= MAX_FAILURES_AT_POSITION;
+        self.line_timeout = MIN_LINE_TIMEOUT;
         match line {
             WatchLine::Event(position) if position <= self.last_position => {
                 self.ignore_valid_line()
@@ -115,6 +123,17 @@
         self.record_failure();
     }
 
+    /// How long a line may take from its first bytes to its end, as long as bytes arrive.
+    pub fn line_timeout(&self) -> Nanos {
+        self.line_timeout
+    }
+
+    /// Records that a line took longer than [`EndpointWatch::line_timeout`]; the caller
+    /// resubscribes. The next line gets more time, so that a slow service is heard in the end.
+    pub fn on_line_timed_out(&mut self) {
+        self.line_timeout = (2 * self.line_timeout).min(MAX_LINE_TIMEOUT);
+    }
+
     /// Returns the time to wait before resubscribing. It grows with each call until a valid line
     /// arrives.
     pub fn next_backoff(&mut self) -> Nanos {
--- a/crates/ivypitch-gateway/src/actors/discovery.rs
+++ b/crates/ivypitch-gateway/src/actors/discovery.rs
@@ -22,8 +22,8 @@
 use crate::wire::discovery::{self, Line, WatchEvent};
 use crate::wire::lines::LineBuffer;
 
-/// The discovery service sends a line at least once a second; a connection without one for this
-/// time counts as dead.
+/// The discovery service sends a line at least once a second; a connection on which nothing arrives
+/// for this time counts as dead.
 const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -51,6 +51,8 @@
     EventsMissing,
     #[error("line too long")]
     LineTooLong,
+    #[error("line too slow")]
+    LineTooSlow,
     #[error("malformed line: {0}")]
     MalformedLine(#[from] discovery::LineError),
     #[error("event {position} after {last_position}")]
@@ -236,20 +238,26 @@
         (&stream).write_all(request.as_bytes()).await?;
         self.actor.traffic.journal.record_sent(request.len());
         let mut lines = LineBuffer::default();
-        let mut silence_deadline = Instant::now() + SILENCE_TIMEOUT;
+        let mut line_deadline = None;
         loop {
             while let Some(line) = lines.next_line() {
                 self.on_line(&line)?;
-                silence_deadline = Instant::now() + SILENCE_TIMEOUT;
+                line_deadline = None;
             }
             if lines.len() > self.actor.max_line_bytes {
                 return Err(WatchError::LineTooLong);
             }
-            self.read(&stream, lines.input_mut(), silence_deadline)
-                .await?;
+            if !lines.is_empty() {
+                line_deadline.get_or_insert_with(|| Instant::now() + self.line_timeout());
+            }
+            self.read(&stream, lines.input_mut(), line_deadline).await?;
         }
     }
 
+    fn line_timeout(&self) -> Duration {
+        Duration::from_nanos(self.actor.watch.borrow().line_timeout())
+    }
+
     fn on_line(&mut self, line: &[u8]) -> Result<(), WatchError> {
         self.actor.on_line(line)?;
         if self.actor.reports_lines {
@@ -265,17 +273,19 @@
         Ok(())
     }
 
-    /// Waits for more input.
+    /// Waits for more input. While a line arrives, which has to be complete at `line_deadline`, no
+    /// event counts as missing: it may be that line.
     async fn read(
         &self,
         stream: &Async<TcpStream>,
         input: &mut BytesMut,
-        silence_deadline: Instant,
+        line_deadline: Option<Instant>,
     ) -> Result<(), WatchError> {
         let watch = &self.actor.watch;
         let missing_events_at = watch
             .borrow()
             .missing_events_deadline()
+            .filter(|_| line_deadline.is_none())
             .map(|at| self.actor.clock.instant(at));
         let read = async { Ok(read_some(stream, input).await?) };
         let events_missing = async {
@@ -284,16 +294,24 @@
                 None => std::future::pending().await,
             }
         };
-        let silent = fail_at(silence_deadline, WatchError::Silent);
-        match read.or(events_missing).or(silent).await {
+        let line_too_slow = async {
+            match line_deadline {
+                Some(at) => fail_at(at, WatchError::LineTooSlow).await,
+                None => std::future::pending().await,
+            }
+        };
+        let silent = fail_at(Instant::now() + SILENCE_TIMEOUT, WatchError::Silent);
+        match read.or(events_missing).or(line_too_slow).or(silent).await {
             Ok(0) => Err(WatchError::Closed),
             Ok(bytes) => {
                 self.actor.traffic.journal.record_received(bytes);
                 Ok(())
             }
             Err(error) => {
-                if missing_events_at.is_some_and(|at| at <= Instant::now()) {
-                    watch.borrow_mut().on_events_missing();
+                match error {
+                    WatchError::EventsMissing => watch.borrow_mut().on_events_missing(),
+                    WatchError::LineTooSlow => watch.borrow_mut().on_line_timed_out(),
+                    _ => {}
                 }
                 Err(error)
             }
