--- a/crates/ivypitch-gateway/src/actors/scheduler/mod.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/mod.rs
@@ -8,6 +8,7 @@
 
 mod context;
 mod coordination;
+mod disconnects;
 mod endpoints;
 mod output;
 mod ownership;
