Reserve a statement's turn among those of its key before it waits in its team's queue

Seen by callers: with team queues a load was sent before an earlier one with the same key of another team. Cause: a statement joined the queue of its key as the scheduler admitted it, which is when its team's queue releases it. Change: Scheduler::reserve_key_turn as a statement is taken, release_key_turn where it leaves its team's queue otherwise than to the scheduler. Why it works: rule 5 asks the queue of the key, which now has the order in which statements were taken. Cost: a look through the open statements of the key, where one has a key.

The first start is answered by the old process now; the check is the same.

--- a/crates/ivypitch-cli/tests/limits/replaced_processes.rs
+++ b/crates/ivypitch-cli/tests/limits/replaced_processes.rs
@@ -49,9 +49,11 @@
 fn a_load_does_not_run_again_at_a_new_engine_with_the_old_address(is_reported: bool) {
     let is_replaced = Arc::new(AtomicBool::new(false));
     let is_new = is_replaced.clone();
-    let engine = FakeEngine::start(move |call, _| {
+    let engine = FakeEngine::start(move |call, earlier_calls| {
         match (call.method.as_str(), is_new.load(Ordering::SeqCst)) {
             ("DELETE", _) => response(204, "", ""),
+            // The old process has read the first start.
+            ("POST", _) if earlier_calls == 0 => response(202, "", ""),
             ("POST", true) => success_response("of\tanother\tprocess\n"),
             // The new process does not know the statements of the old one.
             (_, true) => response(500, "", ""),
--- a/crates/ivypitch-cli/tests/teams.rs
+++ b/crates/ivypitch-cli/tests/teams.rs
@@ -386,3 +386,74 @@
         "{line}"
     );
 }
+
+/// Loads are ordered by key, and may wait for seconds.
+fn ordered_by_key(config: String) -> String {
+    let two_owners = r#""customers":[{"name":"acme","allowance-per-s":100000},{"name":"other","allowance-per-s":100000}]"#;
+    small(config)
+        .replace(r#""cores-by-kind":[2]"#, r#""cores-by-kind":[16]"#)
+        .replace(
+            r#""customers":[{"name":"acme","allowance-per-s":100000}]"#,
+            two_owners,
+        )
+        .replace(
+            r#""effect":"unsafe""#,
+            r#""effect":"unsafe","keep-order":true"#,
+        )
+        .replace("\"goal-time-ns\":600000000", "\"goal-time-ns\":60000000000")
+}
+
+/// Guards against a load that is sent before an earlier one with the same key, which waits in the
+/// queue of another team.
+#[test_case(1; "one later load")]
+#[test_case(10; "ten later loads")]
+fn loads_of_one_key_keep_their_order_across_teams(later: u64) {
+    const FIRST: u64 = 100;
+    // Loads complete at once, the statements that fill the window never do.
+    let engine = FakeEngine::start(|call, _| {
+        let id = call.header("Via-Id").or(call.path.split('/').nth(2));
+        let id = id.and_then(|id| u64::from_str_radix(id, 16).ok());
+        match call.method.as_str() {
+            "DELETE" => response(204, "", ""),
+            _ if id >= Some(FIRST) => success_response("a\tb\tc\n"),
+            _ => response(202, "", ""),
+        }
+    });
+    let gateway = Gateway::start_with_own_settings(
+        &[engine.row("s-1", "in_service")],
+        ordered_by_key,
+        Some(&operator_settings(r#""most_queued":50"#)),
+    );
+    let running = fill_window(&gateway, &engine);
+    let keyed = |req: u64, owner: &str| {
+        statement("load", req, 20_000)
+            .replace(" */", ",subject=000200dc17aa5a17 */")
+            .replace("owner=acme", &format!("owner={owner}"))
+            .replace("sales_17", &format!("sales_{req}"))
+    };
+    let mut first = Client::connect(&gateway);
+    first.send(&query(&keyed(FIRST, "acme")));
+    wait_for_queue_length(&gateway, 1);
+    let _others: Vec<Client> = (1..=later)
+        .map(|n| {
+            let mut other = Client::connect(&gateway);
+            other.send(&query(&keyed(FIRST + n, "other")));
+            wait_until_read(&other.stream);
+            other
+        })
+        .collect();
+    // Another session is served behind them: they have been taken.
+    assert!(!show(&gateway, "SHOW QUEUE").is_empty());
+    assert_eq!(loads_started(&engine), 0, "before the first of the key");
+    drop(running);
+    engine
+        .calls
+        .wait_for_nth("loads", 2, |c| c.header("Via-Class") == Some("load"));
+    let is_load = |c: &Call| c.header("Via-Class") == Some("load");
+    let calls = engine.calls.all();
+    let started = calls
+        .iter()
+        .find(|c| is_load(c))
+        .and_then(|c| c.header("Via-Id"));
+    assert_eq!(started, Some(format!("{FIRST:016x}").as_str()));
+}
--- a/crates/ivypitch-gateway/src/actors/scheduler/queueing.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/queueing.rs
@@ -81,7 +81,20 @@
             .on_statement_arrived(now, statement, arrival, context);
     }
 
+    /// Gives up the turn among the statements of its key of a statement that leaves its queue
+    /// without reaching the scheduler.
+    pub(super) fn release_key_turn(&mut self, statement: StatementIndex) {
+        let Some(open) = self.context.statements.get(statement) else {
+            return;
+        };
+        let arrival = to_scheduler_arrival(&open.statement, NO_TENANT, 0);
+        self.scheduler
+            .borrow_mut()
+            .release_key_turn(statement, &arrival);
+    }
+
     fn reject_queued_statement(&mut self, statement: StatementIndex, retry_after: Nanos) {
+        self.release_key_turn(statement);
         self.context
             .answer(statement, Answer::Rejected { retry_after });
         self.context.close_statement(statement);
--- a/crates/ivypitch-gateway/src/actors/scheduler/statements.rs
+++ b/crates/ivypitch-gateway/src/actors/scheduler/statements.rs
@@ -74,6 +74,9 @@
         };
         context.set_deadline_timer(statement);
         if let Some(queueing) = &mut self.queueing {
+            self.scheduler
+                .borrow_mut()
+                .reserve_key_turn(statement, &arrival);
             queueing.on_statement_queued(now, statement, queue_arrival);
         } else {
             self.scheduler
@@ -124,6 +127,8 @@
             .as_mut()
             .is_some_and(|queueing| queueing.remove(context.now, statement));
         if was_queued {
+            self.release_key_turn(statement);
+            let context = &mut self.context;
             context.statements.take_client(statement);
             context.close_statement(statement);
         } else {
--- a/crates/ivypitch-scheduler/src/admission.rs
+++ b/crates/ivypitch-scheduler/src/admission.rs
@@ -59,11 +59,7 @@
             + workload.latency_objective_stretch * work_secs / workload.threads.max(1.0);
         let max_wait = nanos_from_secs(MAX_WAIT_OBJECTIVE_FRACTION * objective_secs)
             .min(arrival.time_left / 2);
-        let key = if workload.is_ordered_by_key {
-            arrival.key
-        } else {
-            0
-        };
+        let key = self.ordering_key(arrival);
         let avoids_readers = self.has_readers_of_bulk_loads && workload.is_bulk_load;
         Statement {
             workload: arrival.workload,
--- a/crates/ivypitch-scheduler/src/key_order.rs
+++ b/crates/ivypitch-scheduler/src/key_order.rs
@@ -1,5 +1,7 @@
 //! Key order: statements of one key run one at a time, in order of arrival.
 
+use crate::events::Arrival;
+use crate::scheduler::Scheduler;
 use ivypitch_types::{Nanos, StatementIndex};
 use std::collections::{BTreeMap, VecDeque};
 
@@ -26,6 +28,31 @@
     }
 }
 
+impl Scheduler {
+    /// Reserves a statement's turn among those of its key. For a host that takes a statement and
+    /// lets it wait before it arrives here: statements of its key that were taken later wait too.
+    pub fn reserve_key_turn(&mut self, index: StatementIndex, arrival: &Arrival) {
+        let key = self.ordering_key(arrival);
+        self.key_queues.push(key, index);
+    }
+
+    /// Gives up the reserved turn of a statement that will not arrive.
+    pub fn release_key_turn(&mut self, index: StatementIndex, arrival: &Arrival) {
+        let key = self.ordering_key(arrival);
+        self.key_queues.remove(key, index);
+    }
+
+    /// The key by which the statement is ordered; 0: none.
+    pub(crate) fn ordering_key(&self, arrival: &Arrival) -> u64 {
+        let workload = self.deployment.workloads.get(arrival.workload);
+        if workload.is_some_and(|workload| workload.is_ordered_by_key) {
+            arrival.key
+        } else {
+            0
+        }
+    }
+}
+
 /// The queues of all keys in use. Key 0 means no key and has no queue.
 #[derive(Default)]
 pub(crate) struct KeyQueues(BTreeMap<u64, KeyQueue>);
@@ -35,13 +62,14 @@
         self.0.get(&key)
     }
 
+    /// Adds a statement behind those of its key, unless its turn was reserved before.
     pub fn push(&mut self, key: u64, statement: StatementIndex) {
-        if key != 0 {
-            self.0
-                .entry(key)
-                .or_default()
-                .statements
-                .push_back(statement);
+        if key == 0 {
+            return;
+        }
+        let statements = &mut self.0.entry(key).or_default().statements;
+        if !statements.contains(&statement) {
+            statements.push_back(statement);
         }
     }
 
