Keep the vote log's order of eviction with its entries, so that no load gives way

Change: the expiries of idempotent entries are a set that changes with the entry, so it holds no id that is not in the log. Why it works: what is evicted is asked of an entry that is idempotent now. Cost: one more ordered set for idempotent statements.

--- a/crates/ivypitch-ownership/src/vote_log.rs
+++ b/crates/ivypitch-ownership/src/vote_log.rs
@@ -4,7 +4,7 @@
 //! votes; it abstains until other members have transferred every record that it may have voted on,
 //! or until no statement of that time can still be open.
 
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet};
 
 use ivypitch_types::{MemberId, Nanos, ProcessId};
 
@@ -60,8 +60,8 @@
     /// Entries are removed once the statement's client can't return any more.
     entries: BTreeMap<StatementId, VoteLogEntry>,
     expiries: BTreeSet<(Nanos, StatementId)>,
-    /// Idempotent statements, oldest first; those that were removed go with the older ones.
-    idempotent_by_age: VecDeque<StatementId>,
+    /// The expiries of idempotent statements alone, which give way in this order.
+    idempotent_expiries: BTreeSet<(Nanos, StatementId)>,
     max_entries: usize,
     max_bytes: usize,
     /// Approximate size of all entries.
@@ -86,7 +86,7 @@
             member,
             entries: BTreeMap::new(),
             expiries: BTreeSet::new(),
-            idempotent_by_age: VecDeque::new(),
+            idempotent_expiries: BTreeSet::new(),
             max_entries: config.max_entries,
             max_bytes: config.max_bytes,
             bytes: 0,
@@ -275,9 +275,6 @@
             if !self.make_space(entry.bytes()) {
                 return None;
             }
-            if entry.is_idempotent() {
-                self.idempotent_by_age.push_back(id);
-            }
             self.bytes += entry.bytes();
             self.entries.insert(id, entry);
         }
@@ -288,9 +285,13 @@
         let expires_at = entry.deadline.max(now) + self.retention;
         if expires_at > entry.expires_at {
             self.expiries.remove(&(entry.expires_at, id));
+            self.idempotent_expiries.remove(&(entry.expires_at, id));
             entry.expires_at = expires_at;
             self.expiries.insert((expires_at, id));
         }
+        if entry.is_idempotent() {
+            self.idempotent_expiries.insert((entry.expires_at, id));
+        }
         Some(entry)
     }
 
@@ -298,7 +299,7 @@
     /// may run again. Returns false if there is still no space.
     fn make_space(&mut self, bytes: usize) -> bool {
         while self.entries.len() >= self.max_entries || self.bytes + bytes > self.max_bytes {
-            let Some(oldest) = self.idempotent_by_age.pop_front() else {
+            let Some(&(_, oldest)) = self.idempotent_expiries.first() else {
                 return false;
             };
             self.remove(oldest);
@@ -320,6 +321,7 @@
         if let Some(entry) = self.entries.remove(&id) {
             self.bytes -= entry.bytes();
             self.expiries.remove(&(entry.expires_at, id));
+            self.idempotent_expiries.remove(&(entry.expires_at, id));
         }
     }
 
@@ -329,11 +331,6 @@
             self.expiries.remove(&(at, id));
             self.remove(id);
         }
-        while let Some(id) = self.idempotent_by_age.front()
-            && !self.entries.contains_key(id)
-        {
-            self.idempotent_by_age.pop_front();
-        }
     }
 
     /// When the next statement expires; [`Nanos::MAX`] if the log is empty.
--- a/crates/ivypitch-ownership/tests/vote_log_bounds.rs
+++ b/crates/ivypitch-ownership/tests/vote_log_bounds.rs
@@ -73,3 +73,23 @@
         assert_eq!(vote(&mut log, &record(1, false, request_bytes)), Ok(()));
     }
 }
+
+/// Guards against a forgotten vote on a load: an idempotent statement had its id before, was removed,
+/// and its old place in the order of eviction must not evict the load.
+#[test]
+fn a_load_whose_id_an_idempotent_statement_had_before_is_not_evicted() {
+    let mut log = vote_log();
+    log.apply(NOW, &record(0, true, 10));
+    let rejected = StatementRecord {
+        end: Some(StatementEnd::Rejected),
+        ..record(0, true, 10)
+    };
+    log.apply(NOW, &rejected);
+    assert!(log.is_empty());
+    assert_eq!(vote(&mut log, &record(0, false, 10)), Ok(()));
+    for id in 1..1000 {
+        log.apply(NOW, &record(id, true, 10));
+    }
+    let known = log.get(NOW, 0).expect("the vote on the load is forgotten");
+    assert_eq!(known.grants.len(), 1);
+}
